LibCore: Add strong types, results and the decision role concept

Cause: the project starts; its shape must stand before any feature. Change: a CMake workspace of packages with one-way dependencies, strong ids and units, Result, BoundedRing and DutyThread, the design page, and one script for build, format, lint and tests.

--- /dev/null
+++ b/Libraries/LibCore/Endpoint.cpp
@@ -0,0 +1,56 @@
+#include <LibCore/Endpoint.h>
+
+#include <charconv>
+
+namespace jaybridge {
+
+namespace {
+
+template <typename Number>
+bool readNumber(std::string_view Text, Number Greatest, Number &Out) {
+  const char *End = Text.data() + Text.size();
+  auto [Position, Failure] = std::from_chars(Text.data(), End, Out);
+  return Failure == std::errc() && Position == End && Out <= Greatest;
+}
+
+bool isIPv4Address(std::string_view Text) {
+  constexpr int Parts = 4;
+  constexpr unsigned GreatestPart = 255;
+  for (int Part = 1; Part <= Parts; ++Part) {
+    std::size_t Dot = Part < Parts ? Text.find('.') : Text.size();
+    unsigned Value = 0;
+    if (Dot == std::string_view::npos || Dot == 0 ||
+        !readNumber(Text.substr(0, Dot), GreatestPart, Value))
+      return false;
+    Text.remove_prefix(Part < Parts ? Dot + 1 : Dot);
+  }
+  return Text.empty();
+}
+
+} // namespace
+
+Result<Endpoint> Endpoint::create(std::string_view Text) {
+  std::size_t Colon = Text.rfind(':');
+  unsigned Number = 0;
+  constexpr unsigned GreatestPort = 65535;
+  if (Colon == std::string_view::npos ||
+      !readNumber(Text.substr(Colon + 1), GreatestPort, Number))
+    return Error{ErrorCode::Invalid,
+                 "'" + std::string(Text) + "' is not A.B.C.D:PORT",
+                 {}};
+  return create(std::string(Text.substr(0, Colon)),
+                Port(static_cast<std::uint16_t>(Number)));
+}
+
+Result<Endpoint> Endpoint::create(std::string Address, Port Number) {
+  if (!isIPv4Address(Address))
+    return Error{
+        ErrorCode::Invalid, "'" + Address + "' is not an IPv4 address", {}};
+  return Endpoint(std::move(Address), Number);
+}
+
+std::string Endpoint::text() const {
+  return Address_ + ":" + std::to_string(Port_.value());
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibCore/Identifier.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace jaybridge {
+
+/// A textual id. Ids with different tags do not convert into each other.
+template <typename Tag> class Identifier {
+public:
+  Identifier() = default;
+  explicit Identifier(std::string Text) : Text_(std::move(Text)) {}
+
+  const std::string &text() const { return Text_; }
+  bool isEmpty() const { return Text_.empty(); }
+
+  friend auto operator<=>(const Identifier &, const Identifier &) = default;
+
+private:
+  std::string Text_;
+};
+
+/// A number that only identifies or orders: a term, a version, an incarnation.
+template <typename Tag> class Ordinal {
+public:
+  constexpr Ordinal() = default;
+  constexpr explicit Ordinal(std::uint64_t Value) : Value_(Value) {}
+
+  constexpr std::uint64_t value() const { return Value_; }
+  constexpr Ordinal next() const { return Ordinal(Value_ + 1); }
+
+  friend constexpr auto operator<=>(const Ordinal &, const Ordinal &) = default;
+
+private:
+  std::uint64_t Value_ = 0;
+};
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibRuntime/DutyThread.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <LibCore/DecisionRole.h>
+#include <LibRuntime/BoundedRing.h>
+#include <LibRuntime/SystemClock.h>
+
+#include <functional>
+#include <thread>
+
+namespace jaybridge {
+
+/// Hosts one decision object on a thread of its own. Events arrive through the
+/// ring; effects go to the sink on this thread. The thread sleeps until an
+/// event or the object's next deadline.
+template <DecisionRole Role> class DutyThread {
+public:
+  using Event = typename Role::Event;
+  using Effect = typename Role::Effect;
+  using Sink = std::function<void(Effect)>;
+
+  DutyThread(Role Hosted, RingCapacity Capacity)
+      : Hosted_(std::move(Hosted)), Ring_(Capacity) {}
+  ~DutyThread() { stop(); }
+  DutyThread(const DutyThread &) = delete;
+  DutyThread &operator=(const DutyThread &) = delete;
+
+  BoundedRing<Event> &ring() { return Ring_; }
+
+  void start(Sink Deliver) {
+    Deliver_ = std::move(Deliver);
+    Thread_ = std::thread([this] { run(); });
+  }
+
+  /// Handles what the ring still holds, then ends the thread.
+  void stop() {
+    Ring_.close();
+    if (Thread_.joinable())
+      Thread_.join();
+  }
+
+private:
+  void run() {
+    while (!Ring_.isClosedAndEmpty()) {
+      std::optional<std::chrono::steady_clock::time_point> WakeAt;
+      if (auto Deadline = Hosted_.nextDeadline())
+        WakeAt = toSteady(*Deadline);
+      std::optional<Event> Next = Ring_.pop(WakeAt);
+      TimePoint Now = monotonicNow();
+      Hosted_.advance(Now, Effects_);
+      if (Next)
+        Hosted_.handle(*Next, Now, Effects_);
+      for (Effect &Each : Effects_)
+        Deliver_(std::move(Each));
+      Effects_.clear();
+    }
+  }
+
+  Role Hosted_;
+  BoundedRing<Event> Ring_;
+  Sink Deliver_;
+  std::vector<Effect> Effects_;
+  std::thread Thread_;
+};
+
+} // namespace jaybridge
--- /dev/null
+++ b/Meta/CMake/Package.cmake
@@ -0,0 +1,68 @@
+# Packages of the workspace. A package sees the headers of the packages that it
+# declares and of no others, and a decision package may only depend on decision
+# packages and the standard library.
+
+set(JAYBRIDGE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor
+    -Wconversion -Wno-sign-conversion -Werror)
+
+# Makes "#include <LibX/Header.h>" resolve for LibX alone.
+function(_jaybridge_include_root NAME OUT)
+  set(ROOT ${CMAKE_BINARY_DIR}/include/${NAME})
+  file(MAKE_DIRECTORY ${ROOT})
+  file(CREATE_LINK ${CMAKE_CURRENT_SOURCE_DIR} ${ROOT}/${NAME} SYMBOLIC)
+  set(${OUT} ${ROOT} PARENT_SCOPE)
+endfunction()
+
+# jaybridge_package(NAME LibX KIND DECISION|PLUMBING [DEPENDS LibY ...]
+#                   [LIBRARIES external ...])
+function(jaybridge_package)
+  cmake_parse_arguments(P "" "NAME;KIND" "DEPENDS;LIBRARIES" ${ARGN})
+  if(NOT P_KIND MATCHES "^(DECISION|PLUMBING)$")
+    message(FATAL_ERROR "${P_NAME}: KIND must be DECISION or PLUMBING")
+  endif()
+  if(P_KIND STREQUAL "DECISION" AND P_LIBRARIES)
+    message(FATAL_ERROR "${P_NAME}: a decision package links no external library")
+  endif()
+  foreach(DEPENDENCY IN LISTS P_DEPENDS)
+    get_property(DEPENDENCY_KIND GLOBAL PROPERTY JAYBRIDGE_KIND_${DEPENDENCY})
+    if(NOT DEPENDENCY_KIND)
+      message(FATAL_ERROR "${P_NAME}: ${DEPENDENCY} must be declared before it")
+    endif()
+    if(P_KIND STREQUAL "DECISION" AND NOT DEPENDENCY_KIND STREQUAL "DECISION")
+      message(FATAL_ERROR "${P_NAME}: decision package depends on plumbing ${DEPENDENCY}")
+    endif()
+  endforeach()
+  set_property(GLOBAL PROPERTY JAYBRIDGE_KIND_${P_NAME} ${P_KIND})
+  file(GLOB SOURCES CONFIGURE_DEPENDS *.cpp Generated/*.cpp)
+  _jaybridge_include_root(${P_NAME} ROOT)
+  add_library(${P_NAME} STATIC ${SOURCES})
+  target_include_directories(${P_NAME} PUBLIC ${ROOT})
+  target_compile_options(${P_NAME} PRIVATE ${JAYBRIDGE_WARNINGS})
+  target_link_libraries(${P_NAME} PUBLIC ${P_DEPENDS} PRIVATE ${P_LIBRARIES})
+endfunction()
+
+# jaybridge_program(NAME x DEPENDS LibY ... [LIBRARIES external ...])
+function(jaybridge_program)
+  cmake_parse_arguments(P "" "NAME" "DEPENDS;LIBRARIES" ${ARGN})
+  file(GLOB SOURCES CONFIGURE_DEPENDS *.cpp)
+  add_executable(${P_NAME} ${SOURCES})
+  target_include_directories(${P_NAME} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  target_compile_options(${P_NAME} PRIVATE ${JAYBRIDGE_WARNINGS})
+  target_compile_definitions(${P_NAME} PRIVATE JAYBRIDGE_VERSION="${PROJECT_VERSION}")
+  target_link_libraries(${P_NAME} PRIVATE ${P_DEPENDS} ${P_LIBRARIES} Threads::Threads)
+endfunction()
+
+# jaybridge_test(LibX [DEPENDS ...]) builds Test*.cpp of this folder into one
+# program and registers each case with ctest.
+function(jaybridge_test PACKAGE)
+  cmake_parse_arguments(P "" "" "DEPENDS;LIBRARIES" ${ARGN})
+  file(GLOB SOURCES CONFIGURE_DEPENDS *.cpp)
+  set(TARGET Test${PACKAGE})
+  add_executable(${TARGET} ${SOURCES})
+  target_include_directories(${TARGET} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}
+                             ${PROJECT_SOURCE_DIR}/Tests)
+  target_compile_options(${TARGET} PRIVATE ${JAYBRIDGE_WARNINGS})
+  target_link_libraries(${TARGET} PRIVATE ${PACKAGE} ${P_DEPENDS} ${P_LIBRARIES}
+                        gtest gtest_main Threads::Threads)
+  gtest_discover_tests(${TARGET} DISCOVERY_MODE PRE_TEST PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/Meta/jaybridge.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Usage: Meta/jaybridge.sh build|format|lint|test|run|bench [NAME]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD="${JAYBRIDGE_BUILD_FOLDER:-build}"
+JOBS="${JAYBRIDGE_JOBS:-$(nproc)}"
+
+sources() { git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '/Generated/'; }
+
+build() {
+  cmake -S . -B "$BUILD" -G Ninja >"$BUILD.configure.log" 2>&1 || { cat "$BUILD.configure.log"; exit 1; }
+  rm -f "$BUILD.configure.log"
+  cmake --build "$BUILD" -j "$JOBS"
+}
+
+check_format() { sources | xargs clang-format --dry-run -Werror; }
+
+# Lints every source file with the compile commands of the build folder.
+lint() { sources | grep '\.cpp$' | xargs -P "$JOBS" -n 1 clang-tidy --quiet -p "$BUILD" 2>/dev/null; }
+
+# Tests named in KNOWN-RED.txt ("test: NAME") are printed and passed over.
+run_tests() {
+  local arguments=(--test-dir "$BUILD" --output-on-failure -j "$JOBS")
+  if [ -s KNOWN-RED.txt ]; then
+    echo "Known failing tests, not run:"
+    cat KNOWN-RED.txt
+    local names
+    names=$(sed -n 's/^test: *//p' KNOWN-RED.txt | sed 's/[].[^$*+?(){}|\\/]/\\&/g' | paste -sd'|')
+    [ -n "$names" ] && arguments+=(-E "^($names)\$")
+  fi
+  ctest "${arguments[@]}"
+}
+
+case "${1:-}" in
+build) build ;;
+format) sources | xargs clang-format -i ;;
+lint) build && lint ;;
+test)
+  build
+  check_format
+  lint
+  run_tests
+  ;;
+*)
+  sed -n '2s/^# //p' "$0"
+  exit 2
+  ;;
+esac
