LibExchange: Add requests, answers and gateway messages

Cause: decisions and their encoding must stay apart from the first commit on. Change: typed requests, answers and refusals, profiles with permitted ranges, instance records, and the events and effects of a gateway.

--- /dev/null
+++ b/Libraries/LibRouting/GatewayMessages.cpp
@@ -0,0 +1,1 @@
+#include <LibRouting/GatewayMessages.h>
--- /dev/null
+++ b/Libraries/LibUpstream/AttemptOutcome.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibExchange/Answer.h>
+
+namespace jaybridge {
+
+enum class AttemptResult {
+  /// A whole answer arrived.
+  Answered,
+  /// The upstream stated that it did not run the request.
+  RefusedNotRun,
+  /// No connection, so that no byte was sent.
+  ConnectFailed,
+  /// The connection ended before any byte of an answer.
+  ConnectionLost,
+  /// The connection ended inside the answer.
+  CutShort,
+  /// The answer is greater than the stated limit.
+  TooLarge,
+  TimedOut,
+  /// Cancelled by the gateway itself.
+  Cancelled,
+};
+
+/// How one dispatch of a request to an instance ended.
+struct AttemptOutcome {
+  AttemptResult Result_ = AttemptResult::ConnectionLost;
+  /// Set when Result_ is Answered or RefusedNotRun.
+  Response Response_;
+  Duration Elapsed_{};
+};
+
+/// True when the upstream certainly did not run the request.
+constexpr bool isProvablyNotRun(AttemptResult Result) {
+  return Result == AttemptResult::RefusedNotRun ||
+         Result == AttemptResult::ConnectFailed;
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibUpstream/Upstream.cpp
@@ -0,0 +1,2 @@
+#include <LibUpstream/AttemptOutcome.h>
+#include <LibUpstream/InstanceRecord.h>
