Meta: Name test cases without their parameter bytes

Cause: ctest names held the bytes of test parameters, pointers included, so that names changed from run to run. Change: discover tests without pretty values.

--- a/Meta/CMake/Package.cmake
+++ b/Meta/CMake/Package.cmake
@@ -64,5 +64,6 @@
   target_compile_options(${TARGET} PRIVATE ${JAYBRIDGE_WARNINGS})
   target_link_libraries(${TARGET} PRIVATE ${PACKAGE} ${P_DEPENDS} ${P_LIBRARIES}
                         gtest gtest_main Threads::Threads)
-  gtest_discover_tests(${TARGET} DISCOVERY_MODE PRE_TEST PROPERTIES TIMEOUT 300)
+  gtest_discover_tests(${TARGET} NO_PRETTY_VALUES DISCOVERY_MODE PRE_TEST
+                       PROPERTIES TIMEOUT 300)
 endfunction()
