--- a/Libraries/LibCore/Identifier.h
+++ b/Libraries/LibCore/Identifier.h
@@ -16,7 +16,14 @@
   const std::string &text() const { return Text_; }
   bool isEmpty() const { return Text_.empty(); }
 
-  friend auto operator<=>(const Identifier &, const Identifier &) = default;
+  // Written out: clang-tidy 14 reports code inside defaulted comparisons.
+  friend bool operator==(const Identifier &Left, const Identifier &Right) {
+    return Left.Text_ == Right.Text_;
+  }
+  friend std::strong_ordering operator<=>(const Identifier &Left,
+                                          const Identifier &Right) {
+    return Left.Text_ <=> Right.Text_;
+  }
 
 private:
   std::string Text_;
