--- /dev/null
+++ b/Utilities/jaybridge/Options.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibProfile/Profile.h>
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jaybridge {
+
+/// What the command line and the environment said, checked.
+struct Options {
+  std::vector<Endpoint> Daemons_;
+  std::string TokenFile_;
+  bool PrintsJson_ = false;
+  std::string Author_;
+  std::string RequestId_;
+  std::optional<ConfigurationVersion> BasedOn_;
+  /// Profile fields that were given, under their public names.
+  nlohmann::json ProfileFields_ = nlohmann::json::object();
+  std::string ProfileName_;
+  std::string Since_;
+  std::string Service_;
+  std::string Kind_;
+  /// Words that are not flags: the command and its arguments.
+  std::vector<std::string> Words_;
+};
+
+/// Exit codes of the tool, documented in docs/operators/commands.md.
+enum class ExitCode {
+  Success = 0,
+  Failure = 1,
+  Usage = 2,
+  Conflict = 3,
+  Unavailable = 4,
+  NotFound = 5,
+  Invalid = 6,
+};
+
+} // namespace jaybridge
