LibOperator: Accept whole numbers of either sign type in profiles

Cause: patience was written as a signed JSON integer and refused when read back; TestProfileJson.ReadsBackWhatItWrites failed. Change: any integer from 0 to the greatest value of the field is accepted.

--- a/Libraries/LibOperator/ProfileJson.cpp
+++ b/Libraries/LibOperator/ProfileJson.cpp
@@ -14,8 +14,8 @@
 using FieldReader = std::function<bool(const Json &, ProfileDraft &)>;
 
 bool readWhole(const Json &Value, std::uint32_t &Out) {
-  if (!Value.is_number_unsigned() ||
-      Value.get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max())
+  if (!Value.is_number_integer() || Value < 0 ||
+      Value > std::numeric_limits<std::uint32_t>::max())
     return false;
   Out = Value.get<std::uint32_t>();
   return true;
