--- a/Libraries/LibRouting/GatewayMessages.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <LibRouting/GatewayMessages.h>
--- /dev/null
+++ b/Libraries/LibRouting/GatewaySettings.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Units.h>
+
+namespace jaybridge {
+
+/// What a gateway knows about itself from the daemon's settings.
+struct GatewaySettings {
+  MemberId Self_;
+  FailureDomain Domain_;
+  /// Requests in progress at one time; further ones are refused as not run.
+  EventCount GreatestRequests_ = EventCount(20000);
+};
+
+} // namespace jaybridge
