--- a/Libraries/LibRuntime/DutyThread.h
+++ b/Libraries/LibRuntime/DutyThread.h
@@ -12,11 +12,14 @@
 /// Hosts one decision object on a thread of its own. Events arrive through the
 /// ring; effects go to the sink on this thread. The thread sleeps until an
 /// event or the object's next deadline.
+///
+/// The sink must not wait. An effect that cannot be delivered, because a ring
+/// is full for instance, comes back from it as the event that says so.
 template <DecisionRole Role> class DutyThread {
 public:
   using Event = typename Role::Event;
   using Effect = typename Role::Effect;
-  using Sink = std::function<void(Effect)>;
+  using Sink = std::function<std::optional<Event>(Effect)>;
 
   DutyThread(Role Hosted, RingCapacity Capacity)
       : Hosted_(std::move(Hosted)), Ring_(Capacity) {}
@@ -49,12 +52,20 @@
       Hosted_.advance(Now, Effects_);
       if (Next)
         Hosted_.handle(*Next, Now, Effects_);
-      for (Effect &Each : Effects_)
-        Deliver_(std::move(Each));
-      Effects_.clear();
+      deliverEffects(Now);
     }
   }
 
+  // Handling a returned event may append further effects.
+  void deliverEffects(TimePoint Now) {
+    for (std::size_t Index = 0; Index < Effects_.size(); ++Index) {
+      Effect Each = std::move(Effects_[Index]);
+      if (std::optional<Event> Returned = Deliver_(std::move(Each)))
+        Hosted_.handle(*Returned, Now, Effects_);
+    }
+    Effects_.clear();
+  }
+
   Role Hosted_;
   BoundedRing<Event> Ring_;
   Sink Deliver_;
