--- a/Libraries/LibCore/Identifier.h
+++ b/Libraries/LibCore/Identifier.h
@@ -20,8 +20,7 @@
   friend bool operator==(const Identifier &Left, const Identifier &Right) {
     return Left.Text_ == Right.Text_;
   }
-  friend std::strong_ordering operator<=>(const Identifier &Left,
-                                          const Identifier &Right) {
+  friend auto operator<=>(const Identifier &Left, const Identifier &Right) {
     return Left.Text_ <=> Right.Text_;
   }
 
@@ -38,7 +37,12 @@
   constexpr std::uint64_t value() const { return Value_; }
   constexpr Ordinal next() const { return Ordinal(Value_ + 1); }
 
-  friend constexpr auto operator<=>(const Ordinal &, const Ordinal &) = default;
+  friend constexpr bool operator==(Ordinal Left, Ordinal Right) {
+    return Left.Value_ == Right.Value_;
+  }
+  friend constexpr auto operator<=>(Ordinal Left, Ordinal Right) {
+    return Left.Value_ <=> Right.Value_;
+  }
 
 private:
   std::uint64_t Value_ = 0;
