LibHTTP: Add the listener for callers

Cause: callers speak HTTP/1.1, and the gateway sees typed requests only. Change: CallerListener hosts RESTinio on a thread of its own behind a narrow interface; RequestReader and HeaderRules translate a message, ProblemDocument writes refusals (RFC 9457). RESTinio closes the connection above its own body limit without an answer, so it reads up to four times the stated limit and the listener answers 413. BoundedRing moves the value instead of the optional, and Identifier writes its comparisons out: g++ 12 and clang-tidy 14 report code inside the library and inside defaulted operators.

--- a/Libraries/LibCore/Identifier.h
+++ b/Libraries/LibCore/Identifier.h
@@ -16,7 +16,13 @@
   const std::string &text() const { return Text_; }
   bool isEmpty() const { return Text_.empty(); }
 
-  friend auto operator<=>(const Identifier &, const Identifier &) = default;
+  // Written out: clang-tidy 14 reports code inside defaulted comparisons.
+  friend bool operator==(const Identifier &Left, const Identifier &Right) {
+    return Left.Text_ == Right.Text_;
+  }
+  friend auto operator<=>(const Identifier &Left, const Identifier &Right) {
+    return Left.Text_ <=> Right.Text_;
+  }
 
 private:
   std::string Text_;
@@ -31,7 +37,12 @@
   constexpr std::uint64_t value() const { return Value_; }
   constexpr Ordinal next() const { return Ordinal(Value_ + 1); }
 
-  friend constexpr auto operator<=>(const Ordinal &, const Ordinal &) = default;
+  friend constexpr bool operator==(Ordinal Left, Ordinal Right) {
+    return Left.Value_ == Right.Value_;
+  }
+  friend constexpr auto operator<=>(Ordinal Left, Ordinal Right) {
+    return Left.Value_ <=> Right.Value_;
+  }
 
 private:
   std::uint64_t Value_ = 0;
--- /dev/null
+++ b/Libraries/LibHTTP/ProblemDocument.cpp
@@ -0,0 +1,73 @@
+#include <LibHTTP/ProblemDocument.h>
+
+#include <nlohmann/json.hpp>
+
+namespace jaybridge {
+
+const char *statusTitle(StatusCode Status) {
+  // Only codes that this system creates itself or that upstreams commonly use.
+  switch (Status.value()) {
+  case 200:
+    return "OK";
+  case 201:
+    return "Created";
+  case 202:
+    return "Accepted";
+  case 204:
+    return "No Content";
+  case 304:
+    return "Not Modified";
+  case 400:
+    return "Bad Request";
+  case 401:
+    return "Unauthorized";
+  case 403:
+    return "Forbidden";
+  case 404:
+    return "Not Found";
+  case 405:
+    return "Method Not Allowed";
+  case 409:
+    return "Conflict";
+  case 413:
+    return "Content Too Large";
+  case 422:
+    return "Unprocessable Content";
+  case 500:
+    return "Internal Server Error";
+  case 502:
+    return "Bad Gateway";
+  case 503:
+    return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
+  default:
+    return "";
+  }
+}
+
+std::string problemDocumentOf(const Refusal &Refused) {
+  const StatusCode Status = statusOf(Refused);
+  const char *Reason = refusalReasonName(Refused.Reason_);
+  nlohmann::json Document = {
+      {"type", std::string("urn:jaybridge:problem:") + Reason},
+      {"title", statusTitle(Status)},
+      {"status", Status.value()},
+      {"detail", Refused.Detail_},
+      {"outcome", outcomeName(Refused.Outcome_)},
+      {"reason", Reason}};
+  if (Refused.RetryAfter_)
+    Document["retry_after_ms"] =
+        std::chrono::ceil<std::chrono::milliseconds>(*Refused.RetryAfter_)
+            .count();
+  // Details may quote bytes of the request that are not UTF-8.
+  return Document.dump(-1, ' ', false,
+                       nlohmann::json::error_handler_t::replace);
+}
+
+std::string retryAfterSeconds(Duration RetryAfter) {
+  return std::to_string(
+      std::chrono::ceil<std::chrono::seconds>(RetryAfter).count());
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibHTTP/RequestReader.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibExchange/Answer.h>
+#include <LibExchange/Request.h>
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace jaybridge {
+
+/// The parts of a received HTTP request.
+struct ReceivedMessage {
+  std::string Method_;
+  /// Request target as received, with the service as its first segment.
+  std::string_view Target_;
+  std::vector<Header> Headers_;
+  std::string Body_;
+};
+
+/// Turns a received message into a request, or into the refusal for its
+/// caller. The limit applies to the body.
+std::variant<Request, Refusal> readRequest(RequestId Id,
+                                           ReceivedMessage Received,
+                                           ByteCount BodyLimit, TimePoint Now);
+
+} // namespace jaybridge
--- a/Libraries/LibRuntime/BoundedRing.h
+++ b/Libraries/LibRuntime/BoundedRing.h
@@ -62,7 +62,8 @@
       NotEmpty_.wait(Lock, Ready);
     if (Length_ == 0)
       return std::nullopt;
-    std::optional<T> Item(std::move(Slots_[First_]));
+    // Moved by value: g++ 12 reports the moved optional as uninitialized.
+    std::optional<T> Item(std::in_place, std::move(*Slots_[First_]));
     Slots_[First_].reset();
     First_ = (First_ + 1) % Slots_.size();
     --Length_;
