--- a/Libraries/LibUpstream/AttemptOutcome.h
+++ b/Libraries/LibUpstream/AttemptOutcome.h
@@ -23,6 +23,9 @@
   Cancelled,
 };
 
+/// The least status by which an upstream says that it failed itself.
+constexpr StatusCode FirstServerError(500);
+
 /// How one dispatch of a request to an instance ended.
 struct AttemptOutcome {
   AttemptResult Result_ = AttemptResult::ConnectionLost;
--- a/Libraries/LibUpstream/Upstream.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#include <LibUpstream/AttemptOutcome.h>
-#include <LibUpstream/InstanceRecord.h>
