LibRouting: Decide queueing, retries, hedges, claims and forwarding

Cause: the first gateway sent one attempt and gave up. Change: RequestExecution holds what is certain about one request, RequestDispatcher its way through queue, instances, retries and hedges, Gateway admission, claims, forwarding and drain. Keyed requests that run at most once are never refused as not run before their claim is granted, since an earlier copy may have run.

--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -1,36 +1,22 @@
 #include <LibRouting/Gateway.h>
 
+#include <algorithm>
+
 namespace jaybridge {
 
 namespace {
 
-/// Time after which a refused caller may try again.
+/// Time after which a caller refused at the door may try again.
 constexpr Duration RetryAfter = 1s;
+/// Homes that one request is forwarded to before it is served here.
+constexpr std::size_t GreatestForwards = 2;
+/// Kept back from the deadline of a forwarded request, so that the home's
+/// refusal arrives before this gateway's own.
+constexpr Duration ForwardMargin = 2ms;
 
-Refusal refuse(Outcome Certainty, RefusalReason Reason,
-               std::optional<Duration> After = std::nullopt) {
-  return Refusal{Certainty, Reason, After, {}};
-}
-
-Answer answerOf(const AttemptOutcome &Ended) {
-  switch (Ended.Result_) {
-  case AttemptResult::Answered:
-    return Ended.Response_;
-  case AttemptResult::RefusedNotRun:
-  case AttemptResult::ConnectFailed:
-    return refuse(Outcome::NotRun, RefusalReason::UpstreamUnavailable,
-                  RetryAfter);
-  case AttemptResult::ConnectionLost:
-    return refuse(Outcome::Unknown, RefusalReason::ConnectionLost);
-  case AttemptResult::CutShort:
-    return refuse(Outcome::Unknown, RefusalReason::AnswerCutShort);
-  case AttemptResult::TooLarge:
-    return refuse(Outcome::Ran, RefusalReason::AnswerTooLarge);
-  case AttemptResult::TimedOut:
-  case AttemptResult::Cancelled:
-    return refuse(Outcome::Unknown, RefusalReason::UpstreamTimeout);
-  }
-  return refuse(Outcome::Unknown, RefusalReason::UpstreamUnavailable);
+/// A home gives these reasons only before it does anything with a request.
+bool isRefusedAtTheDoor(RefusalReason Reason) {
+  return Reason == RefusalReason::Draining || Reason == RefusalReason::NotReady;
 }
 
 } // namespace
@@ -41,6 +27,9 @@
   if (Settings.GreatestRequests_ < EventCount(1))
     return Error{ErrorCode::Invalid, "greatest-requests must be at least 1",
                  "greatest-requests"};
+  if (Settings.QueueCapacity_ < EventCount(1))
+    return Error{ErrorCode::Invalid, "queue-capacity must be at least 1",
+                 "queue-capacity"};
   return Gateway(std::move(Settings), Seed);
 }
 
@@ -48,90 +37,123 @@
   std::visit([&](const auto &Each) { on(Each, Now, Out); }, Incoming);
 }
 
-void Gateway::advance(TimePoint Now, Effects &Out) {
-  while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now) {
-    RequestId Id = Deadlines_.begin()->second;
-    Out.emplace_back(CancelAttempt{Requests_.at(Id).Attempt_});
-    finish(Id, refuse(Outcome::Unknown, RefusalReason::UpstreamTimeout), Out);
-  }
-}
-
-std::optional<TimePoint> Gateway::nextDeadline() const {
-  if (Deadlines_.empty())
-    return std::nullopt;
-  return Deadlines_.begin()->first;
-}
-
 void Gateway::on(const RequestReceived &Incoming, TimePoint Now, Effects &Out) {
   const Request &Received = *Incoming.Request_;
+  if (Requests_.find(Received.Id_))
+    return;
+  Out.emplace_back(RecordStep{Received.Id_,
+                              StepKind::Received,
+                              Received.Service_,
+                              Requests_.version(),
+                              {},
+                              {},
+                              Incoming.IsForwarded_ ? "forwarded" : ""});
   if (IsDraining_)
-    return answer(Received.Id_,
-                  refuse(Outcome::NotRun, RefusalReason::Draining, RetryAfter),
-                  Out);
-  auto Found = Services_.find(Received.Service_);
-  if (Found == Services_.end() || !Found->second.Policy_)
-    return answer(Received.Id_,
-                  refuse(Outcome::NotRun, RefusalReason::UnknownService), Out);
-  if (Requests_.size() >= Settings_.GreatestRequests_.value())
-    return answer(
-        Received.Id_,
-        refuse(Outcome::NotRun, RefusalReason::Overloaded, RetryAfter), Out);
-  const Profile &Rules = Found->second.Policy_->Profile_;
+    return refuseNew(Received, RefusalReason::Draining, Out);
+  const ServiceRouter *Known = Requests_.findService(Received.Service_);
+  if (!Known || !Known->policy())
+    return refuseNew(Received, RefusalReason::UnknownService, Out);
+  const Profile &Rules = Known->policy()->Profile_;
   TimePoint Deadline = Received.Deadline_.value_or(Now + Rules.patience());
   if (Deadline <= Now)
-    return answer(Received.Id_,
-                  refuse(Outcome::NotRun, RefusalReason::DeadlinePassed), Out);
-  const InstanceRecord *Instance = selectInstance(Found->second);
-  if (!Instance)
-    return answer(
-        Received.Id_,
-        refuse(Outcome::NotRun, RefusalReason::NoInstance, RetryAfter), Out);
-  dispatch(*Instance, Execution{Incoming.Request_, Deadline, {}, {}}, Out);
-}
-
-void Gateway::on(const CallerGone &Incoming, TimePoint /*Now*/, Effects &Out) {
-  auto Found = Requests_.find(Incoming.Id_);
-  if (Found == Requests_.end())
-    return;
-  Out.emplace_back(CancelAttempt{Found->second.Attempt_});
-  finish(Incoming.Id_, refuse(Outcome::Unknown, RefusalReason::CallerGone),
-         Out);
+    return refuseNew(Received, RefusalReason::DeadlinePassed, Out);
+  if (Requests_.requestCount() >= Settings_.GreatestRequests_.value() &&
+      !Requests_.makeRoom(Rules.weight(), Now, Out))
+    return refuseNew(Received, RefusalReason::Overloaded, Out);
+  RequestExecution &Opened =
+      Requests_.open(RequestExecution(Incoming.Request_, Rules, Deadline));
+  if (Incoming.IsForwarded_ || !forward(Opened, Now, Out))
+    serveHere(Opened, Now, Out);
 }
 
-void Gateway::on(const AttemptFinished &Incoming, TimePoint /*Now*/,
-                 Effects &Out) {
-  auto Found = Attempts_.find(Incoming.Attempt_);
-  if (Found == Attempts_.end())
-    return;
-  const Execution &Running = Requests_.at(Found->second);
-  const AttemptOutcome &Ended = Incoming.Outcome_;
-  Out.emplace_back(ObserveAttempt{Running.Request_->Service_, Running.Instance_,
-                                  Ended.Result_, Ended.Response_.Status_,
-                                  Ended.Elapsed_,
-                                  fingerprintOf(*Running.Request_)});
-  RequestId Id = Found->second;
-  finish(Id, answerOf(Ended), Out);
+void Gateway::on(const CallerGone &Incoming, TimePoint Now, Effects &Out) {
+  RequestExecution *Running = Requests_.find(Incoming.Id_);
+  if (Running && Running->phase() != RequestExecution::Phase::Settling)
+    Requests_.refuse(*Running, RefusalReason::CallerGone, Now, Out);
+}
+
+void Gateway::on(const AttemptFinished &Incoming, TimePoint Now, Effects &Out) {
+  Requests_.endAttempt(Incoming, Now, Out);
 }
 
 void Gateway::on(const CatalogChanged &Incoming, TimePoint /*Now*/,
                  Effects & /*Out*/) {
-  if (Incoming.Version_ < Version_)
+  Requests_.configure(Incoming);
+}
+
+void Gateway::on(const InstanceChanged &Incoming, TimePoint Now, Effects &Out) {
+  const ServiceName &Name = Incoming.Record_.Service_;
+  Requests_.service(Name).pool().apply(Incoming.Record_, Now);
+  Requests_.resume(Name, Now, Out);
+}
+
+void Gateway::on(const LoadReported &Incoming, TimePoint Now,
+                 Effects & /*Out*/) {
+  Requests_.service(Incoming.Service_)
+      .pool()
+      .report(Incoming.Instance_, Incoming.Busy_, Now);
+}
+
+void Gateway::on(const EjectionsChanged &Incoming, TimePoint Now,
+                 Effects &Out) {
+  Requests_.service(Incoming.Service_)
+      .pool()
+      .eject(Incoming.Ejected_, Incoming.ValidUntil_, Now);
+  Requests_.resume(Incoming.Service_, Now, Out);
+}
+
+void Gateway::on(const FingerprintsQuarantined &Incoming, TimePoint /*Now*/,
+                 Effects & /*Out*/) {
+  Requests_.quarantine(Incoming.Fingerprints_);
+}
+
+void Gateway::on(const ClaimDecided &Incoming, TimePoint Now, Effects &Out) {
+  bool IsGranted = std::holds_alternative<ClaimGranted>(Incoming.Decision_);
+  RequestExecution *Waiting = Requests_.find(Incoming.Id_);
+  if (!Waiting) {
+    if (IsGranted)
+      Out.emplace_back(ReleaseKey{Incoming.Id_});
+    return;
+  }
+  if (Waiting->phase() != RequestExecution::Phase::Claiming)
     return;
-  Version_ = Incoming.Version_;
-  for (auto &[Name, Known] : Services_)
-    Known.Policy_.reset();
-  for (const ServicePolicy &Policy : Incoming.Policies_)
-    Services_[Policy.Service_].Policy_ = Policy;
+  Waiting->setPhase(RequestExecution::Phase::Waiting);
+  if (!IsGranted)
+    return Requests_.close(*Waiting, std::get<Answer>(Incoming.Decision_), Now,
+                           Out);
+  Waiting->grantClaim();
+  Requests_.recordStep(*Waiting, StepKind::Claimed, {}, Out);
+  Requests_.place(*Waiting, Now, Out);
 }
 
-void Gateway::on(const InstanceChanged &Incoming, TimePoint /*Now*/,
+void Gateway::on(const HomesChanged &Incoming, TimePoint /*Now*/,
                  Effects & /*Out*/) {
-  const InstanceRecord &Record = Incoming.Record_;
-  auto &Instances = Services_[Record.Service_].Instances_;
-  auto [Position, IsNew] = Instances.try_emplace(Record.Id_, Record);
-  if (!IsNew && std::pair(Position->second.Version_, Position->second.State_) <
-                    std::pair(Record.Version_, Record.State_))
-    Position->second = Record;
+  Requests_.service(Incoming.Service_).setHomes(Incoming.Preferred_);
+}
+
+void Gateway::on(const ForwardAnswered &Incoming, TimePoint Now, Effects &Out) {
+  RequestExecution *Forwarded = Requests_.find(Incoming.Id_);
+  if (!Forwarded || Forwarded->phase() != RequestExecution::Phase::Forwarded)
+    return;
+  Answer Final = Incoming.Answer_;
+  auto *Refused = std::get_if<Refusal>(&Final);
+  bool IsAtTheDoor = Refused && isRefusedAtTheDoor(Refused->Reason_);
+  bool IsLost = Refused && Refused->Reason_ == RefusalReason::HomeLost;
+  bool IsNotRun = Refused && Refused->Outcome_ == Outcome::NotRun;
+  bool MayHaveRun = !IsAtTheDoor && !IsNotRun;
+  Forwarded->endForward(MayHaveRun);
+  if (!IsLost && !IsAtTheDoor) {
+    // An earlier home may have run what this one did not.
+    if (IsNotRun && Forwarded->mayHaveRun())
+      Refused->Outcome_ = Outcome::Unknown;
+    return Requests_.close(*Forwarded, std::move(Final), Now, Out);
+  }
+  ServiceRouter &Router = Requests_.service(Forwarded->request().Service_);
+  Router.loseHome(Forwarded->home(), Now);
+  if (MayHaveRun && !(Forwarded->isRepeatable() && Router.budget().withdraw()))
+    return Requests_.refuse(*Forwarded, RefusalReason::HomeLost, Now, Out);
+  if (!forward(*Forwarded, Now, Out))
+    serveHere(*Forwarded, Now, Out);
 }
 
 void Gateway::on(const DrainStarted & /*Incoming*/, TimePoint /*Now*/,
@@ -139,44 +161,48 @@
   IsDraining_ = true;
 }
 
-const InstanceRecord *Gateway::selectInstance(const Service &Chosen) {
-  std::vector<const InstanceRecord *> Serving;
-  for (const auto &[Id, Record] : Chosen.Instances_)
-    if (Record.State_ == InstanceState::Serving)
-      Serving.push_back(&Record);
-  return Serving.empty() ? nullptr : Serving[Random_.below(Serving.size())];
-}
-
-void Gateway::dispatch(const InstanceRecord &Instance, Execution Started,
-                       Effects &Out) {
-  LastAttempt_ = LastAttempt_.next();
-  Started.Attempt_ = LastAttempt_;
-  Started.Instance_ = Instance.Id_;
-  RequestId Id = Started.Request_->Id_;
-  Attempts_.emplace(LastAttempt_, Id);
-  Deadlines_.emplace(Started.Deadline_, Id);
-  Out.emplace_back(SendAttempt{LastAttempt_, Instance.Id_, Instance.Address_,
-                               Started.Request_, Started.Deadline_});
-  Out.emplace_back(RecordStep{Id,
-                              StepKind::Dispatched,
-                              Started.Request_->Service_,
-                              Version_,
-                              Instance.Id_,
-                              Instance.Domain_,
-                              {}});
-  Requests_.emplace(std::move(Id), std::move(Started));
-}
-
-void Gateway::answer(const RequestId &Id, Answer Final, Effects &Out) {
-  Out.emplace_back(AnswerCaller{Id, std::move(Final), Version_});
-}
-
-void Gateway::finish(const RequestId &Id, Answer Final, Effects &Out) {
-  auto Found = Requests_.find(Id);
-  Attempts_.erase(Found->second.Attempt_);
-  Deadlines_.erase({Found->second.Deadline_, Id});
-  answer(Id, std::move(Final), Out);
-  Requests_.erase(Found);
+void Gateway::refuseNew(const Request &Received, RefusalReason Reason,
+                        Effects &Out) {
+  // An earlier copy of a keyed request may have run, and only a claim could
+  // rule that out.
+  const ServiceRouter *Known = Requests_.findService(Received.Service_);
+  bool IsRepeatable =
+      Known && Known->policy() && Known->policy()->Profile_.isRepeatable();
+  bool IsCertain = IsRepeatable || !Received.Key_;
+  Refusal Refused{
+      IsCertain ? Outcome::NotRun : Outcome::Unknown, Reason, std::nullopt, {}};
+  if (Reason == RefusalReason::Draining || Reason == RefusalReason::Overloaded)
+    Refused.RetryAfter_ = RetryAfter;
+  Out.emplace_back(RecordStep{Received.Id_,
+                              StepKind::Refused,
+                              Received.Service_,
+                              Requests_.version(),
+                              {},
+                              {},
+                              refusalReasonName(Reason)});
+  Out.emplace_back(AnswerCaller{Received.Id_, Refused, Requests_.version()});
+}
+
+bool Gateway::forward(RequestExecution &Ready, TimePoint Now, Effects &Out) {
+  ServiceRouter &Router = Requests_.service(Ready.request().Service_);
+  std::optional<MemberId> Home = Router.chooseHome(Now);
+  if (!Home || Ready.forwards() >= GreatestForwards ||
+      Now + ForwardMargin >= Ready.deadline())
+    return false;
+  if (Ready.forwards() == 0)
+    Router.budget().depositFirstAttempt();
+  Ready.beginForward(*Home);
+  Requests_.recordStep(Ready, StepKind::Forwarded, Home->text(), Out);
+  Out.emplace_back(ForwardRequest{*Home, Ready.sharedRequest(),
+                                  Ready.deadline() - ForwardMargin});
+  return true;
+}
+
+void Gateway::serveHere(RequestExecution &Ready, TimePoint Now, Effects &Out) {
+  if (!Ready.needsClaim())
+    return Requests_.place(Ready, Now, Out);
+  Ready.setPhase(RequestExecution::Phase::Claiming);
+  Out.emplace_back(ClaimKey{Ready.sharedRequest(), Ready.deadline()});
 }
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -1,16 +1,17 @@
 #pragma once
 
 #include <LibCore/DecisionRole.h>
-#include <LibCore/Random.h>
-#include <LibRouting/GatewayMessages.h>
 #include <LibRouting/GatewaySettings.h>
-
-#include <map>
-#include <set>
+#include <LibRouting/RequestDispatcher.h>
 
 namespace jaybridge {
 
-/// Decides about each request: where it is sent, and its one answer.
+/// Decides about each request: whether it is admitted, whether it is forwarded
+/// to a home or served here, when its key is claimed, and its one answer.
+///
+/// The host must report the end of each SendAttempt with one AttemptFinished,
+/// also after CancelAttempt, and answer each ClaimKey with one ClaimDecided.
+/// ReleaseKey may come while a claim is pending; the ledger then drops it.
 class Gateway {
 public:
   using Event = GatewayEvent;
@@ -21,54 +22,42 @@
   static Result<Gateway> create(GatewaySettings Settings, RandomSeed Seed);
 
   void handle(const Event &Incoming, TimePoint Now, Effects &Out);
-  void advance(TimePoint Now, Effects &Out);
-  std::optional<TimePoint> nextDeadline() const;
+  void advance(TimePoint Now, Effects &Out) { Requests_.advance(Now, Out); }
+  std::optional<TimePoint> nextDeadline() const {
+    return Requests_.nextDeadline();
+  }
 
   /// True when a drain has started and no request is in progress.
-  bool isDrained() const { return IsDraining_ && Requests_.empty(); }
+  bool isDrained() const { return IsDraining_ && Requests_.isIdle(); }
+  std::size_t requestCount() const { return Requests_.requestCount(); }
 
 private:
-  struct Execution {
-    std::shared_ptr<const Request> Request_;
-    TimePoint Deadline_;
-    AttemptId Attempt_;
-    InstanceId Instance_;
-  };
-  struct Service {
-    std::optional<ServicePolicy> Policy_;
-    std::map<InstanceId, InstanceRecord> Instances_;
-  };
-
   Gateway(GatewaySettings Settings, RandomSeed Seed)
-      : Settings_(std::move(Settings)), Random_(Seed) {}
+      : Settings_(std::move(Settings)),
+        Requests_(Settings_.Domain_, Settings_.QueueCapacity_, Seed) {}
 
   void on(const RequestReceived &Incoming, TimePoint Now, Effects &Out);
   void on(const CallerGone &Incoming, TimePoint Now, Effects &Out);
   void on(const AttemptFinished &Incoming, TimePoint Now, Effects &Out);
   void on(const CatalogChanged &Incoming, TimePoint Now, Effects &Out);
   void on(const InstanceChanged &Incoming, TimePoint Now, Effects &Out);
+  void on(const LoadReported &Incoming, TimePoint Now, Effects &Out);
+  void on(const EjectionsChanged &Incoming, TimePoint Now, Effects &Out);
+  void on(const FingerprintsQuarantined &Incoming, TimePoint Now, Effects &Out);
+  void on(const ClaimDecided &Incoming, TimePoint Now, Effects &Out);
+  void on(const HomesChanged &Incoming, TimePoint Now, Effects &Out);
+  void on(const ForwardAnswered &Incoming, TimePoint Now, Effects &Out);
   void on(const DrainStarted &Incoming, TimePoint Now, Effects &Out);
-  // FIXME: The remaining events change nothing until claims, ejections and
-  // forwarding are decided here.
-  template <typename Other>
-  void on(const Other & /*Incoming*/, TimePoint /*Now*/, Effects & /*Out*/) {}
 
-  const InstanceRecord *selectInstance(const Service &Chosen);
-  void dispatch(const InstanceRecord &Instance, Execution Started,
-                Effects &Out);
-  void answer(const RequestId &Id, Answer Final, Effects &Out);
-  /// Forgets the request and answers its caller.
-  void finish(const RequestId &Id, Answer Final, Effects &Out);
+  /// Refuses a request that was never opened.
+  void refuseNew(const Request &Received, RefusalReason Reason, Effects &Out);
+  /// Forwards the request to a home; false when there is none to forward to.
+  bool forward(RequestExecution &Ready, TimePoint Now, Effects &Out);
+  void serveHere(RequestExecution &Ready, TimePoint Now, Effects &Out);
 
   GatewaySettings Settings_;
-  Random Random_;
-  ConfigurationVersion Version_;
   bool IsDraining_ = false;
-  AttemptId LastAttempt_;
-  std::map<ServiceName, Service> Services_;
-  std::map<RequestId, Execution> Requests_;
-  std::map<AttemptId, RequestId> Attempts_;
-  std::set<std::pair<TimePoint, RequestId>> Deadlines_;
+  RequestDispatcher Requests_;
 };
 
 static_assert(DecisionRole<Gateway>);
--- a/Libraries/LibRouting/GatewaySettings.h
+++ b/Libraries/LibRouting/GatewaySettings.h
@@ -11,6 +11,8 @@
   FailureDomain Domain_;
   /// Requests in progress at one time; further ones are refused as not run.
   EventCount GreatestRequests_ = EventCount(20000);
+  /// Requests of all services that may wait for an instance.
+  EventCount QueueCapacity_ = EventCount(2000);
 };
 
 } // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -0,0 +1,35 @@
+#include <LibRouting/RetryBudget.h>
+
+#include <algorithm>
+
+namespace jaybridge {
+
+namespace {
+
+constexpr std::uint64_t HundredthsPerRetry = 100;
+
+constexpr EventCount inHundredths(EventCount Retries) {
+  return EventCount(Retries.value() * HundredthsPerRetry);
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(Percentage Share)
+    : Share_(Share), Balance_(inHundredths(Reserve)) {}
+
+void RetryBudget::setShare(Percentage Share) { Share_ = Share; }
+
+void RetryBudget::depositFirstAttempt() {
+  Balance_ =
+      std::min(inHundredths(Greatest), Balance_ + EventCount(Share_.value()));
+}
+
+bool RetryBudget::withdraw() {
+  constexpr EventCount Price(HundredthsPerRetry);
+  if (Share_ == Percentage(0) || Balance_ < Price)
+    return false;
+  Balance_ -= Price;
+  return true;
+}
+
+} // namespace jaybridge
