--- /dev/null
+++ b/Libraries/LibControl/LedgerService.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibLedger/LedgerClaims.h>
+#include <LibLedger/LedgerReplica.h>
+
+#include <optional>
+
+namespace jaybridge {
+
+/// A claimant's message to the replica on this member.
+struct LedgerRequestReceived {
+  MemberId Claimant_;
+  LedgerRequest Message_;
+  WallTime At_;
+};
+
+struct SendToClaimant {
+  MemberId Claimant_;
+  LedgerReply Message_;
+};
+
+/// A daemon's part in the ledger: the claims of its gateway and, on a control
+/// member, a replica of the records.
+class LedgerService {
+public:
+  using Event = std::variant<ClaimRequested, ReleaseRequested, FinishRequested,
+                             LedgerReplyReceived, LedgerRequestReceived>;
+  using Effect = std::variant<SendToReplica, SendToClaimant, ClaimSettled>;
+  using Effects = std::vector<Effect>;
+
+  LedgerService(LedgerClaims Claims, std::optional<LedgerReplica> Replica)
+      : Claims_(std::move(Claims)), Replica_(std::move(Replica)) {}
+
+  void handle(const Event &Incoming, TimePoint Now, Effects &Out);
+  void advance(TimePoint Now, Effects &Out);
+  std::optional<TimePoint> nextDeadline() const {
+    return Claims_.nextDeadline();
+  }
+
+private:
+  void serveClaimant(const LedgerRequestReceived &Incoming, Effects &Out);
+  void forwardClaimEffects(Effects &Out);
+
+  LedgerClaims Claims_;
+  std::optional<LedgerReplica> Replica_;
+  std::vector<LedgerClaims::Effect> ClaimEffects_;
+};
+
+static_assert(DecisionRole<LedgerService>);
+
+} // namespace jaybridge
