LibHTTP: Add the client towards upstreams

Cause: attempts need kept-alive connections, cancellation, deadlines and an outcome that never claims more than is known. Change: UpstreamClient drives libcurl's multi interface on a thread of its own; commands arrive through a bounded ring and curl_multi_wakeup.

--- /dev/null
+++ b/Tests/LibHTTP/TestUpstreamClient.cpp
@@ -0,0 +1,259 @@
+#include <LibHTTP/UpstreamClient.h>
+
+#include <LibHTTP/HeaderRules.h>
+#include <LibRuntime/BoundedRing.h>
+#include <LibRuntime/SystemClock.h>
+#include <Support/CaseName.h>
+#include <Support/RawListener.h>
+
+#include <gtest/gtest.h>
+
+namespace jaybridge {
+namespace {
+
+constexpr std::size_t AnswerLimit = 1000;
+
+/// A client whose outcomes are put into a ring.
+class ClientFixture {
+public:
+  ClientFixture()
+      : Client_(UpstreamClient::create({.AnswerLimit_ = ByteCount(AnswerLimit)},
+                                       [this](AttemptFinished Finished) {
+                                         EXPECT_TRUE(Finished_.tryPush(
+                                             std::move(Finished)));
+                                       })
+                    .takeValue()) {}
+
+  AttemptId send(const Endpoint &Upstream, std::string Method,
+                 std::string Body = "", Duration Left = 20s) {
+    auto Sent = std::make_shared<Request>();
+    Sent->Id_ = RequestId("r");
+    Sent->Method_ = std::move(Method);
+    Sent->Target_ = "/a/../b?c=%20";
+    Sent->Headers_ = {{"X-One", "1"}, {"X-Empty", ""}};
+    Sent->Body_ = std::make_shared<const std::string>(std::move(Body));
+    Last_ = Last_.next();
+    EXPECT_TRUE(Client_.start({Last_, InstanceId("i"), Upstream,
+                               std::move(Sent), monotonicNow() + Left}));
+    return Last_;
+  }
+  AttemptFinished nextFinished() {
+    auto Next = Finished_.pop(std::chrono::steady_clock::now() + 20s);
+    EXPECT_TRUE(Next);
+    return Next ? *Next : AttemptFinished{};
+  }
+  UpstreamClient &client() { return Client_; }
+
+private:
+  BoundedRing<AttemptFinished> Finished_{RingCapacity(16)};
+  UpstreamClient Client_;
+  AttemptId Last_;
+};
+
+std::string whole(const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
+}
+
+struct AnswerCase {
+  const char *Name_;
+  /// What the upstream writes before it closes the connection.
+  std::string Written_;
+  AttemptResult Result_;
+  std::string Body_;
+};
+
+class AnswerTest : public testing::TestWithParam<AnswerCase> {};
+
+// Guards against an answer that was cut off and is passed on as whole, and
+// against a request that may have run and is reported as not run.
+TEST_P(AnswerTest, IsReportedTruthfully) {
+  ClientFixture Fixture;
+  RawListener Upstream;
+  Fixture.send(Upstream.address(), "GET");
+  auto Connection = Upstream.accept();
+  ASSERT_TRUE(Connection);
+  Connection->readMessage();
+  Connection->send(GetParam().Written_);
+  Connection->close();
+  AttemptOutcome Ended = Fixture.nextFinished().Outcome_;
+  EXPECT_EQ(Ended.Result_, GetParam().Result_);
+  if (Ended.Result_ == AttemptResult::Answered) {
+    EXPECT_EQ(*Ended.Response_.Body_, GetParam().Body_);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, AnswerTest,
+    testing::Values(
+        AnswerCase{"Whole", whole("text"), AttemptResult::Answered, "text"},
+        AnswerCase{"NothingAtAll", "", AttemptResult::ConnectionLost, ""},
+        AnswerCase{"CutInStatusLine", "HTTP/1.", AttemptResult::ConnectionLost,
+                   ""},
+        AnswerCase{"CutInHeaders", "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n",
+                   AttemptResult::CutShort, ""},
+        AnswerCase{"CutAfterInterimAnswer", "HTTP/1.1 103 Hint\r\n\r\n",
+                   AttemptResult::CutShort, ""},
+        AnswerCase{"CutInBody",
+                   "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n123456789",
+                   AttemptResult::CutShort, ""},
+        AnswerCase{"CutBeforeLastChunk",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nabcd\r\n",
+                   AttemptResult::CutShort, ""},
+        AnswerCase{"CutInLastChunk",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nabcd\r\n0\r\n",
+                   AttemptResult::CutShort, ""},
+        AnswerCase{"Chunked",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nabcd\r\n0\r\n\r\n",
+                   AttemptResult::Answered, "abcd"},
+        AnswerCase{"AfterInterimAnswer",
+                   "HTTP/1.1 103 Hint\r\n\r\n" + whole("x"),
+                   AttemptResult::Answered, "x"},
+        AnswerCase{"AtTheLimit", whole(std::string(AnswerLimit, 'l')),
+                   AttemptResult::Answered, std::string(AnswerLimit, 'l')},
+        AnswerCase{"AboveTheLimit", whole(std::string(AnswerLimit + 1, 'l')),
+                   AttemptResult::TooLarge, ""},
+        AnswerCase{"HeadersAboveTheLimit",
+                   "HTTP/1.1 200 OK\r\nX: " + std::string(70'000, 'h') +
+                       "\r\n\r\n",
+                   AttemptResult::TooLarge, ""},
+        AnswerCase{"StatedNotRun",
+                   "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+                   "jaybridge-outcome: not-run\r\n\r\n",
+                   AttemptResult::RefusedNotRun, ""},
+        AnswerCase{"StatedNotRunWithOtherStatus",
+                   "HTTP/1.1 500 Busy\r\nContent-Length: 0\r\n"
+                   "Jaybridge-Outcome: not-run\r\n\r\n",
+                   AttemptResult::Answered, ""},
+        AnswerCase{"UnavailableWithoutStatement",
+                   "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                   AttemptResult::Answered, ""}),
+    CaseName());
+
+class MethodTest : public testing::TestWithParam<const char *> {};
+
+// Guards against running a request twice: libcurl sends it again on a fresh
+// connection when a reused one ends without an answer.
+TEST_P(MethodTest, IsNotSentAgainAfterAReusedConnectionEnded) {
+  ClientFixture Fixture;
+  RawListener Upstream;
+  Fixture.send(Upstream.address(), "GET");
+  auto Kept = Upstream.accept();
+  ASSERT_TRUE(Kept);
+  Kept->readMessage();
+  Kept->send(whole("first"));
+  EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_, AttemptResult::Answered);
+
+  Fixture.send(Upstream.address(), GetParam(), "body");
+  EXPECT_TRUE(Kept->readMessage().starts_with(GetParam()));
+  Kept->close();
+  EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_,
+            AttemptResult::ConnectionLost);
+  EXPECT_EQ(Fixture.client().counts().ResendsPrevented_, EventCount(1));
+  auto Fresh = Upstream.accept();
+  ASSERT_TRUE(Fresh);
+  EXPECT_EQ(Fresh->readUntilClosed(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Methods, MethodTest,
+                         testing::Values("GET", "POST", "PUT", "DELETE",
+                                         "HEAD"),
+                         [](const auto &Info) {
+                           return std::string(Info.param);
+                         });
+
+// Guards against sending on an idle connection that the upstream has closed.
+TEST(UpstreamClientTest, OpensAConnectionWhenTheIdleOneWasClosed) {
+  ClientFixture Fixture;
+  RawListener Upstream;
+  for (int Round = 0; Round < 3; ++Round) {
+    Fixture.send(Upstream.address(), "POST", "body");
+    auto Connection = Upstream.accept();
+    ASSERT_TRUE(Connection);
+    Connection->readMessage();
+    Connection->send(whole("x"));
+    EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_, AttemptResult::Answered);
+    Connection->close();
+  }
+  EXPECT_EQ(Fixture.client().counts().ResendsPrevented_, EventCount(0));
+}
+
+// Guards against requests that reach the upstream changed, and against
+// connections that are not kept alive.
+TEST(UpstreamClientTest, SendsTheRequestUnchangedOnAKeptConnection) {
+  ClientFixture Fixture;
+  RawListener Upstream;
+  const std::string Bytes("\0\r\n\xff binary", 11);
+  Fixture.send(Upstream.address(), "PATCH", Bytes);
+  auto Connection = Upstream.accept();
+  ASSERT_TRUE(Connection);
+  for (int Round = 0; Round < 3; ++Round) {
+    std::string Sent = Connection->readMessage();
+    EXPECT_TRUE(Sent.starts_with("PATCH /a/../b?c=%20 HTTP/1.1\r\n")) << Sent;
+    EXPECT_TRUE(Sent.ends_with("\r\n\r\n" + Bytes)) << Sent;
+    for (const char *Line :
+         {"\r\nX-One: 1\r\n", "\r\nX-Empty:\r\n",
+          "\r\nJaybridge-Request-Id: r\r\n", "\r\nJaybridge-Deadline-Ms: 19"})
+      EXPECT_NE(Sent.find(Line), std::string::npos) << Line << Sent;
+    for (const char *Added : {"Accept", "Content-Type", "Expect", "User-Agent"})
+      EXPECT_EQ(Sent.find(Added), std::string::npos) << Added;
+    Connection->send(whole("x"));
+    Fixture.nextFinished();
+    if (Round < 2)
+      Fixture.send(Upstream.address(), "PATCH", Bytes);
+  }
+  EXPECT_EQ(Fixture.client().counts().Connections_, EventCount(1));
+}
+
+// Guards against an upstream that goes on working for nobody.
+TEST(UpstreamClientTest, ClosesTheConnectionOfACancelledAttempt) {
+  ClientFixture Fixture;
+  RawListener Upstream;
+  AttemptId Sent = Fixture.send(Upstream.address(), "GET");
+  auto Connection = Upstream.accept();
+  ASSERT_TRUE(Connection);
+  Connection->readMessage();
+  EXPECT_TRUE(Fixture.client().cancel(Sent));
+  AttemptFinished Finished = Fixture.nextFinished();
+  EXPECT_EQ(Finished.Attempt_, Sent);
+  EXPECT_EQ(Finished.Outcome_.Result_, AttemptResult::Cancelled);
+  EXPECT_EQ(Connection->readUntilClosed(), "");
+  EXPECT_TRUE(Fixture.client().cancel(Sent));
+}
+
+struct EarlyEndCase {
+  const char *Name_;
+  /// The upstream's port takes connections.
+  bool IsListening_;
+  Duration Left_;
+  AttemptResult Result_;
+};
+
+class EarlyEndTest : public testing::TestWithParam<EarlyEndCase> {};
+
+// Guards against a start after the deadline, and against a wrong statement
+// about whether the request can have run.
+TEST_P(EarlyEndTest, IsReportedTruthfully) {
+  ClientFixture Fixture;
+  RawListener Upstream;
+  if (!GetParam().IsListening_)
+    Upstream.close();
+  Fixture.send(Upstream.address(), "POST", "body", GetParam().Left_);
+  EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_, GetParam().Result_);
+  EXPECT_EQ(Fixture.client().counts().Started_,
+            EventCount(GetParam().Left_ > 0ms ? 1 : 0));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, EarlyEndTest,
+    testing::Values(
+        EarlyEndCase{"Refused", false, 20s, AttemptResult::ConnectFailed},
+        EarlyEndCase{"DeadlinePassed", true, 0ms, AttemptResult::ConnectFailed},
+        EarlyEndCase{"NoAnswerInTime", true, 100ms, AttemptResult::TimedOut}),
+    CaseName());
+
+} // namespace
+} // namespace jaybridge
