LibUpstream: Let avoided and limited instances recover when idle

Cause: tests of the pool showed that an idle pool never again chose an instance that had failed or shed once, since any remainder of the failure lost every comparison, and that six answers of one slow instance shifted the pool's mean. Change: differences below a threshold count as none, limits recover with time, and the pool's mean follows 100 samples instead of 5.

--- a/Libraries/LibUpstream/ConcurrencyLimit.h
+++ b/Libraries/LibUpstream/ConcurrencyLimit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibCore/Units.h>
 
 namespace jaybridge {
@@ -12,16 +13,20 @@
 public:
   explicit ConcurrencyLimit(SlotCount Announced);
 
-  SlotCount current() const;
+  SlotCount current(TimePoint Now) const;
   void setAnnounced(SlotCount Announced);
   /// The instance shed work or timed out.
-  void decrease();
+  void decrease(TimePoint Now);
   /// A request succeeded while the limit was used up.
-  void increase();
+  void increase(TimePoint Now);
 
 private:
+  double valueAt(TimePoint Now) const;
+
   SlotCount Announced_;
+  /// As of ChangedAt_.
   double Value_;
+  TimePoint ChangedAt_{};
 };
 
 } // namespace jaybridge
--- a/Libraries/LibUpstream/LatencyEstimate.cpp
+++ b/Libraries/LibUpstream/LatencyEstimate.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// A new sample counts a fifth: the mean follows a change within about ten.
-constexpr int Smoothing = 5;
 /// The histogram is halved at this many samples.
 constexpr std::uint32_t GreatestTotal = 512;
 /// The quantile is computed anew after this many samples.
@@ -33,9 +31,10 @@
 } // namespace
 
 void LatencyEstimate::record(Duration Elapsed, TimePoint Now) {
-  Mean_ = Samples_ == EventCount(0) ? Elapsed
-                                    : Mean_ + (Elapsed - Mean_) / Smoothing;
   Samples_ += EventCount(1);
+  auto Divisor =
+      static_cast<Duration::rep>(std::min(Samples_, Memory_).value());
+  Mean_ += (Elapsed - Mean_) / Divisor;
   LastSample_ = Now;
 }
 
--- a/Libraries/LibUpstream/LatencyEstimate.h
+++ b/Libraries/LibUpstream/LatencyEstimate.h
@@ -8,12 +8,16 @@
 
 namespace jaybridge {
 
-/// Exponentially weighted mean of latencies.
+/// Mean of latencies: plain over the first samples, then exponentially
+/// weighted.
 class LatencyEstimate {
 public:
   /// A mean of fewer samples says too little to compare instances by.
   static constexpr EventCount LeastSamples{5};
 
+  /// The mean follows about the last `Memory` samples.
+  explicit LatencyEstimate(EventCount Memory) : Memory_(Memory) {}
+
   void record(Duration Elapsed, TimePoint Now);
   /// Takes a lower bound, such as the age of a cancelled attempt: counts only
   /// when it raises the mean.
@@ -24,6 +28,7 @@
   bool isMeaningful() const { return Samples_ >= LeastSamples; }
 
 private:
+  EventCount Memory_;
   Duration Mean_{};
   EventCount Samples_;
   TimePoint LastSample_{};
--- a/Libraries/LibUpstream/UpstreamInstance.cpp
+++ b/Libraries/LibUpstream/UpstreamInstance.cpp
@@ -16,6 +16,10 @@
 /// A failing instance looks up to this many times as loaded.
 constexpr double FailurePenalty = 8;
 constexpr double GreatestSlowness = 10;
+/// Means of few samples differ by chance, and a remainder of old failures must
+/// not decide between idle instances: below these both count as none.
+constexpr double LeastSlowness = 1.25;
+constexpr double LeastFailures = 0.02;
 /// A single failure may be the request's fault; two in a row are avoided.
 constexpr unsigned FailuresBeforeAvoidance = 2;
 constexpr Duration LeastAvoidance = 100ms;
@@ -69,7 +73,7 @@
 
 void UpstreamInstance::finish(const AttemptOutcome &Ended, TimePoint Now) {
   JAYBRIDGE_VERIFY(InUse_ > SlotCount(0));
-  bool WasFull = InUse_ >= Limit_.current();
+  bool WasFull = InUse_ >= Limit_.current(Now);
   InUse_ -= SlotCount(1);
   switch (Ended.Result_) {
   case AttemptResult::Answered:
@@ -88,7 +92,7 @@
     return recordFailure(Now);
   case AttemptResult::TimedOut:
     Latency_.recordAtLeast(Ended.Elapsed_, Now);
-    Limit_.decrease();
+    Limit_.decrease(Now);
     return recordFailure(Now);
   case AttemptResult::Cancelled:
     return Latency_.recordAtLeast(Ended.Elapsed_, Now);
@@ -111,11 +115,11 @@
   RefusesConnections_ = false;
   Latency_.record(Ended.Elapsed_, Now);
   if (WasFull)
-    Limit_.increase();
+    Limit_.increase(Now);
 }
 
 void UpstreamInstance::recordShed(TimePoint Now) {
-  Limit_.decrease();
+  Limit_.decrease(Now);
   Duration Hold = std::max(LeastShedHold, Latency_.mean() / 2) *
                   (1 << std::min(ShedsInRow_, GreatestShedDoublings));
   ++ShedsInRow_;
@@ -131,7 +135,7 @@
 }
 
 SlotCount UpstreamInstance::limit(TimePoint Now) const {
-  SlotCount Adapted = Limit_.current();
+  SlotCount Adapted = Limit_.current(Now);
   if (!isWarmingUp(Now))
     return Adapted;
   auto Left = static_cast<std::uint64_t>((WarmAt_ - Now).count());
@@ -160,7 +164,11 @@
     Slowness += (std::min(Ratio, GreatestSlowness) - 1) *
                 remaining(Now - Latency_.lastSample());
   }
+  if (Slowness < LeastSlowness)
+    Slowness = 1;
   double Failing = Failures_ * remaining(Now - FailuresAt_);
+  if (Failing < LeastFailures)
+    Failing = 0;
   return SelectionCost(Load / limit(Now).value() * Slowness *
                        (1 + FailurePenalty * Failing));
 }
--- a/Libraries/LibUpstream/UpstreamInstance.h
+++ b/Libraries/LibUpstream/UpstreamInstance.h
@@ -19,6 +19,9 @@
   /// A statement about load counts less with age and nothing after this time.
   static constexpr Duration LoadHintLifetime = 1s;
 
+  /// Latencies of an instance: few, so that slowness shows at once.
+  static constexpr EventCount LatencyMemory{5};
+
   UpstreamInstance(InstanceRecord Record, TimePoint Now, bool IsCold);
 
   const InstanceRecord &record() const { return Record_; }
@@ -52,7 +55,7 @@
 
   InstanceRecord Record_;
   ConcurrencyLimit Limit_;
-  LatencyEstimate Latency_;
+  LatencyEstimate Latency_{LatencyMemory};
   SlotCount InUse_;
   bool IsEjected_ = false;
   TimePoint WarmAt_;
--- a/Libraries/LibUpstream/UpstreamPool.h
+++ b/Libraries/LibUpstream/UpstreamPool.h
@@ -22,6 +22,10 @@
   /// taken for cold: the gateway itself has just started.
   static constexpr Duration FormationTime = 5s;
 
+  /// Latencies of a pool: enough that one slow instance hardly moves the mean
+  /// that it is compared with.
+  static constexpr EventCount LatencyMemory{100};
+
   explicit UpstreamPool(FailureDomain Own) : Own_(std::move(Own)) {}
 
   /// Share of serving instances that ejection and avoidance must leave in use.
@@ -77,7 +81,7 @@
   /// When to forget each instance that left.
   std::map<std::size_t, TimePoint> Gone_;
   SlotCount InUse_;
-  LatencyEstimate Latency_;
+  LatencyEstimate Latency_{LatencyMemory};
 };
 
 /// The available instances as seen by a selection policy.
--- /dev/null
+++ b/Tests/LibRouting/GatewayHarness.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <LibRouting/Gateway.h>
+
+#include <gtest/gtest.h>
+
+namespace jaybridge {
+
+/// Profiles of the tests, by repeatability.
+inline Profile makeProfile(Repeatability Repeat, bool HedgingAllowed = false,
+                           Percentage Budget = Percentage(20),
+                           ClassWeight Weight = ClassWeight(1)) {
+  ProfileDraft Draft;
+  Draft.Name_ = ProfileName("test");
+  Draft.Repeat_ = Repeat;
+  Draft.HedgingAllowed_ = HedgingAllowed;
+  Draft.RetryBudget_ = Budget;
+  Draft.Weight_ = Weight;
+  Draft.Patience_ = 1s;
+  return Profile::create(Draft).takeValue();
+}
+
+inline InstanceRecord makeInstance(const std::string &Id,
+                                   const std::string &Service, SlotCount Slots,
+                                   InstanceState State = InstanceState::Serving,
+                                   Incarnation Version = Incarnation(1)) {
+  return InstanceRecord{InstanceId(Id), ServiceName(Service),
+                        Endpoint(),     FailureDomain("here"),
+                        Slots,          State,
+                        Version};
+}
+
+inline AttemptOutcome makeOutcome(AttemptResult Result,
+                                  StatusCode Code = StatusCode(200),
+                                  Duration Elapsed = 10ms) {
+  AttemptOutcome Ended;
+  Ended.Result_ = Result;
+  if (Result == AttemptResult::Answered)
+    Ended.Response_.Status_ = Code;
+  Ended.Elapsed_ = Elapsed;
+  return Ended;
+}
+
+/// A gateway with one service "s" and the effects of its last event.
+class GatewayHarness {
+public:
+  explicit GatewayHarness(const Profile &Rules, int Instances = 2,
+                          SlotCount Slots = SlotCount(2),
+                          GatewaySettings Settings = defaultSettings())
+      : Role_(Gateway::create(Settings, RandomSeed(1)).takeValue()) {
+    handle(CatalogChanged{
+        ConfigurationVersion(1),
+        {ServicePolicy{ServiceName("s"), Rules, ConfigurationVersion(1)}}});
+    for (int Number = 0; Number < Instances; ++Number)
+      handle(InstanceChanged{
+          makeInstance("i" + std::to_string(Number), "s", Slots)});
+  }
+
+  static GatewaySettings defaultSettings() {
+    return GatewaySettings{MemberId("self"), FailureDomain("here")};
+  }
+
+  void handle(const GatewayEvent &Event) {
+    Out_.clear();
+    Role_.advance(Now_, Out_);
+    Role_.handle(Event, Now_, Out_);
+  }
+  void advanceTo(TimePoint Now) {
+    Now_ = Now;
+    Out_.clear();
+    Role_.advance(Now_, Out_);
+  }
+  void request(const std::string &Id, bool HasKey = false,
+               bool IsForwarded = false) {
+    auto Received = std::make_shared<Request>();
+    Received->Id_ = RequestId(Id);
+    Received->Service_ = ServiceName("s");
+    Received->Target_ = "/" + Id;
+    if (HasKey)
+      Received->Key_ = IdempotencyKeyText("key-" + Id);
+    handle(RequestReceived{Received, IsForwarded});
+  }
+  void finish(AttemptId Attempt, const AttemptOutcome &Ended) {
+    handle(AttemptFinished{Attempt, Ended});
+  }
+
+  /// The last effect of a kind from the last event; null when there is none.
+  template <typename Kind> const Kind *last() const {
+    for (auto Each = Out_.rbegin(); Each != Out_.rend(); ++Each)
+      if (const auto *Found = std::get_if<Kind>(&*Each))
+        return Found;
+    return nullptr;
+  }
+  template <typename Kind> int count() const {
+    int Number = 0;
+    for (const auto &Each : Out_)
+      Number += std::holds_alternative<Kind>(Each) ? 1 : 0;
+    return Number;
+  }
+  const Refusal *refusal() const {
+    const auto *Answered = last<AnswerCaller>();
+    return Answered ? std::get_if<Refusal>(&Answered->Answer_) : nullptr;
+  }
+
+  Gateway Role_;
+  TimePoint Now_{};
+  Gateway::Effects Out_;
+};
+
+} // namespace jaybridge
