--- a/Tests/LibRouting/TestGateway.cpp
+++ b/Tests/LibRouting/TestGateway.cpp
@@ -36,31 +36,64 @@
     return;
   }
   ASSERT_EQ(World.refusal() != nullptr, Case.Outcome_.has_value());
-  if (Case.Outcome_)
+  if (Case.Outcome_) {
     EXPECT_EQ(World.refusal()->Outcome_, *Case.Outcome_);
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(
     Ends, AttemptEndTest,
     testing::Values(
-        AttemptEndCase{"Answer", Repeatable, AttemptResult::Answered,
-                       StatusCode(200), false, {}},
-        AttemptEndCase{"ErrorOfRead", Repeatable, AttemptResult::Answered,
-                       StatusCode(500), true, {}},
-        AttemptEndCase{"ErrorOfOrder", AtMostOnce, AttemptResult::Answered,
-                       StatusCode(500), false, {}},
-        AttemptEndCase{"ShedRead", Repeatable, AttemptResult::RefusedNotRun,
-                       StatusCode(), true, {}},
-        AttemptEndCase{"ShedOrder", AtMostOnce, AttemptResult::RefusedNotRun,
-                       StatusCode(), true, {}},
-        AttemptEndCase{"UnconnectedOrder", AtMostOnce,
-                       AttemptResult::ConnectFailed, StatusCode(), true, {}},
-        AttemptEndCase{"LostRead", Repeatable, AttemptResult::ConnectionLost,
-                       StatusCode(), true, {}},
+        AttemptEndCase{"Answer",
+                       Repeatable,
+                       AttemptResult::Answered,
+                       StatusCode(200),
+                       false,
+                       {}},
+        AttemptEndCase{"ErrorOfRead",
+                       Repeatable,
+                       AttemptResult::Answered,
+                       StatusCode(500),
+                       true,
+                       {}},
+        AttemptEndCase{"ErrorOfOrder",
+                       AtMostOnce,
+                       AttemptResult::Answered,
+                       StatusCode(500),
+                       false,
+                       {}},
+        AttemptEndCase{"ShedRead",
+                       Repeatable,
+                       AttemptResult::RefusedNotRun,
+                       StatusCode(),
+                       true,
+                       {}},
+        AttemptEndCase{"ShedOrder",
+                       AtMostOnce,
+                       AttemptResult::RefusedNotRun,
+                       StatusCode(),
+                       true,
+                       {}},
+        AttemptEndCase{"UnconnectedOrder",
+                       AtMostOnce,
+                       AttemptResult::ConnectFailed,
+                       StatusCode(),
+                       true,
+                       {}},
+        AttemptEndCase{"LostRead",
+                       Repeatable,
+                       AttemptResult::ConnectionLost,
+                       StatusCode(),
+                       true,
+                       {}},
         AttemptEndCase{"LostOrder", AtMostOnce, AttemptResult::ConnectionLost,
                        StatusCode(), false, Outcome::Unknown},
-        AttemptEndCase{"CutShortRead", Repeatable, AttemptResult::CutShort,
-                       StatusCode(), true, {}},
+        AttemptEndCase{"CutShortRead",
+                       Repeatable,
+                       AttemptResult::CutShort,
+                       StatusCode(),
+                       true,
+                       {}},
         AttemptEndCase{"CutShortOrder", AtMostOnce, AttemptResult::CutShort,
                        StatusCode(), false, Outcome::Unknown},
         AttemptEndCase{"TimedOutOrder", AtMostOnce, AttemptResult::TimedOut,
@@ -111,24 +144,25 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Reasons, DoorTest,
-    testing::Values(
-        DoorCase{"UnknownService", false, removeService,
-                 RefusalReason::UnknownService, Outcome::NotRun},
-        DoorCase{"UnknownServiceWithKey", true, removeService,
-                 RefusalReason::UnknownService, Outcome::Unknown},
-        DoorCase{"Drain", false, drainGateway, RefusalReason::Draining,
-                 Outcome::NotRun},
-        DoorCase{"DrainWithKey", true, drainGateway, RefusalReason::Draining,
-                 Outcome::Unknown},
-        DoorCase{"InstancesDrain", false, changeAll<InstanceState::Draining>,
-                 RefusalReason::NoInstance, Outcome::NotRun},
-        DoorCase{"InstancesLeft", false, changeAll<InstanceState::Left>,
-                 RefusalReason::NoInstance, Outcome::NotRun},
-        DoorCase{"InstancesLapsedWithGrantedKey", true,
-                 changeAll<InstanceState::Lapsed>, RefusalReason::NoInstance,
-                 Outcome::NotRun},
-        DoorCase{"CrashesUpstreams", false, quarantineRequest,
-                 RefusalReason::CrashesUpstreams, Outcome::NotRun}),
+    testing::Values(DoorCase{"UnknownService", false, removeService,
+                             RefusalReason::UnknownService, Outcome::NotRun},
+                    DoorCase{"UnknownServiceWithKey", true, removeService,
+                             RefusalReason::UnknownService, Outcome::Unknown},
+                    DoorCase{"Drain", false, drainGateway,
+                             RefusalReason::Draining, Outcome::NotRun},
+                    DoorCase{"DrainWithKey", true, drainGateway,
+                             RefusalReason::Draining, Outcome::Unknown},
+                    DoorCase{"InstancesDrain", false,
+                             changeAll<InstanceState::Draining>,
+                             RefusalReason::NoInstance, Outcome::NotRun},
+                    DoorCase{"InstancesLeft", false,
+                             changeAll<InstanceState::Left>,
+                             RefusalReason::NoInstance, Outcome::NotRun},
+                    DoorCase{"InstancesLapsedWithGrantedKey", true,
+                             changeAll<InstanceState::Lapsed>,
+                             RefusalReason::NoInstance, Outcome::NotRun},
+                    DoorCase{"CrashesUpstreams", false, quarantineRequest,
+                             RefusalReason::CrashesUpstreams, Outcome::NotRun}),
     CaseName());
 
 enum class Settled { Nothing, Released, Finished };
@@ -153,29 +187,27 @@
   EXPECT_EQ(World.count<ClaimKey>(), Case.Repeat_ == AtMostOnce ? 1 : 0);
   EXPECT_EQ(World.count<SendAttempt>(), Case.Repeat_ == AtMostOnce ? 0 : 1);
   Case.Act_(World);
-  if (Case.Repeat_ == AtMostOnce)
+  if (Case.Repeat_ == AtMostOnce) {
     EXPECT_EQ(World.count<SendAttempt>(), Case.IsDispatched_ ? 1 : 0);
+  }
   EXPECT_EQ(World.count<ReleaseKey>(), Case.Settled_ == Settled::Released);
   EXPECT_EQ(World.count<FinishKey>(), Case.Settled_ == Settled::Finished);
   ASSERT_EQ(World.refusal() != nullptr, Case.Refused_.has_value());
-  if (Case.Refused_)
+  if (Case.Refused_) {
     EXPECT_EQ(World.refusal()->Outcome_, *Case.Refused_);
+  }
 }
 
 void grant(GatewayHarness &World) {
   World.handle(ClaimDecided{RequestId("r"), ClaimGranted{}});
 }
 void deny(GatewayHarness &World) {
-  World.handle(ClaimDecided{RequestId("r"),
-                            Answer(Refusal{Outcome::Unknown,
-                                           RefusalReason::InProgress, {}, {}})});
-}
-void leave(GatewayHarness &World) {
-  World.handle(CallerGone{RequestId("r")});
-}
-void passDeadline(GatewayHarness &World) {
-  World.advanceTo(World.Now_ + 1s);
+  World.handle(ClaimDecided{
+      RequestId("r"),
+      Answer(Refusal{Outcome::Unknown, RefusalReason::InProgress, {}, {}})});
 }
+void leave(GatewayHarness &World) { World.handle(CallerGone{RequestId("r")}); }
+void passDeadline(GatewayHarness &World) { World.advanceTo(World.Now_ + 1s); }
 /// The process is frozen: the grant is handled before any timer runs.
 void grantTooLate(GatewayHarness &World) {
   World.Now_ += 2s;
@@ -206,25 +238,41 @@
 INSTANTIATE_TEST_SUITE_P(
     Paths, ClaimTest,
     testing::Values(
-        ClaimCase{"ReadNeedsNoClaim", Repeatable, true, Settled::Nothing, {},
+        ClaimCase{"ReadNeedsNoClaim",
+                  Repeatable,
+                  true,
+                  Settled::Nothing,
+                  {},
                   nothing},
         ClaimCase{"Granted", AtMostOnce, true, Settled::Nothing, {}, grant},
         ClaimCase{"Denied", AtMostOnce, false, Settled::Nothing,
                   Outcome::Unknown, deny},
         ClaimCase{"CallerGone", AtMostOnce, false, Settled::Released,
                   Outcome::Unknown, leave},
-        ClaimCase{"GrantAfterCallerGone", AtMostOnce, false, Settled::Released,
-                  {}, leaveThenGrant},
-        ClaimCase{"DeadlineWhileClaiming", AtMostOnce, false,
-                  Settled::Released, Outcome::Unknown, passDeadline},
+        ClaimCase{"GrantAfterCallerGone",
+                  AtMostOnce,
+                  false,
+                  Settled::Released,
+                  {},
+                  leaveThenGrant},
+        ClaimCase{"DeadlineWhileClaiming", AtMostOnce, false, Settled::Released,
+                  Outcome::Unknown, passDeadline},
         ClaimCase{"GrantAfterDeadline", AtMostOnce, false, Settled::Released,
                   Outcome::NotRun, grantTooLate},
-        ClaimCase{"AnswerIsKept", AtMostOnce, false, Settled::Finished, {},
+        ClaimCase{"AnswerIsKept",
+                  AtMostOnce,
+                  false,
+                  Settled::Finished,
+                  {},
                   grantAndEnd<AttemptResult::Answered>},
         ClaimCase{"LossIsKept", AtMostOnce, false, Settled::Finished,
                   Outcome::Unknown, grantAndEnd<AttemptResult::ConnectionLost>},
-        ClaimCase{"AnswerAfterCallerGone", AtMostOnce, false,
-                  Settled::Finished, {}, leaveThenAnswer}),
+        ClaimCase{"AnswerAfterCallerGone",
+                  AtMostOnce,
+                  false,
+                  Settled::Finished,
+                  {},
+                  leaveThenAnswer}),
     CaseName());
 
 struct ForwardCase {
@@ -247,8 +295,10 @@
   World.handle(ForwardAnswered{RequestId("r"), GetParam().Home_});
   EXPECT_EQ(World.count<ForwardRequest>(),
             GetParam().IsForwardedAgain_ ? 1 : 0);
-  if (GetParam().IsForwardedAgain_)
-    return EXPECT_EQ(World.last<ForwardRequest>()->Home_, MemberId("b"));
+  if (GetParam().IsForwardedAgain_) {
+    EXPECT_EQ(World.last<ForwardRequest>()->Home_, MemberId("b"));
+    return;
+  }
   ASSERT_NE(World.refusal(), nullptr);
   EXPECT_EQ(World.refusal()->Outcome_, GetParam().Outcome_);
 }
@@ -256,21 +306,31 @@
 INSTANTIATE_TEST_SUITE_P(
     Words, ForwardTest,
     testing::Values(
-        ForwardCase{"LostOrder", AtMostOnce,
+        ForwardCase{"LostOrder",
+                    AtMostOnce,
                     {Outcome::Unknown, RefusalReason::HomeLost, {}, {}},
-                    false, Outcome::Unknown},
-        ForwardCase{"UnreachedOrder", AtMostOnce,
-                    {Outcome::NotRun, RefusalReason::HomeLost, {}, {}}, true,
+                    false,
+                    Outcome::Unknown},
+        ForwardCase{"UnreachedOrder",
+                    AtMostOnce,
+                    {Outcome::NotRun, RefusalReason::HomeLost, {}, {}},
+                    true,
                     Outcome::NotRun},
-        ForwardCase{"LostRead", Repeatable,
-                    {Outcome::Unknown, RefusalReason::HomeLost, {}, {}}, true,
+        ForwardCase{"LostRead",
+                    Repeatable,
+                    {Outcome::Unknown, RefusalReason::HomeLost, {}, {}},
+                    true,
                     Outcome::NotRun},
-        ForwardCase{"DrainingHome", AtMostOnce,
-                    {Outcome::NotRun, RefusalReason::Draining, {}, {}}, true,
+        ForwardCase{"DrainingHome",
+                    AtMostOnce,
+                    {Outcome::NotRun, RefusalReason::Draining, {}, {}},
+                    true,
                     Outcome::NotRun},
-        ForwardCase{"OverloadedHome", AtMostOnce,
+        ForwardCase{"OverloadedHome",
+                    AtMostOnce,
                     {Outcome::NotRun, RefusalReason::Overloaded, {}, {}},
-                    false, Outcome::NotRun}),
+                    false,
+                    Outcome::NotRun}),
     CaseName());
 
 // Guards against requests that wander from gateway to gateway.
--- a/Tests/LibUpstream/TestUpstreamPool.cpp
+++ b/Tests/LibUpstream/TestUpstreamPool.cpp
@@ -134,10 +134,10 @@
            makeEnd(AttemptResult::ConnectionLost));
   int Available = 0;
   for (int Number = 0; Number < 4; ++Number)
-    Available += Pool_.find(InstanceId("i" + std::to_string(Number)))
-                         ->isAvailable(Now_)
-                     ? 1
-                     : 0;
+    Available +=
+        Pool_.find(InstanceId("i" + std::to_string(Number)))->isAvailable(Now_)
+            ? 1
+            : 0;
   EXPECT_EQ(Available, 3);
 }
 
@@ -163,11 +163,15 @@
   Pool_.apply(makeRecord(9, SlotCount(4)), Now_);
   const InstanceId Cold("i9");
   EXPECT_EQ(Pool_.find(Cold)->limit(Now_), SlotCount(1));
+  for (int Number = 0; Number < 4; ++Number)
+    for (int Times = 0; Times < 4; ++Times)
+      Pool_.begin(InstanceId("i" + std::to_string(Number)), Now_);
+  EXPECT_EQ(countChosen(Cold), 400);
   Pool_.begin(Cold, Now_);
   EXPECT_FALSE(Pool_.find(Cold)->isAvailable(Now_));
   advance(UpstreamInstance::WarmUpTime / 2);
   EXPECT_EQ(Pool_.find(Cold)->limit(Now_), SlotCount(2));
-  EXPECT_GT(countChosen(Cold), 0) << "the pool did not notice the new limit";
+  EXPECT_EQ(countChosen(Cold), 400) << "the pool did not notice the new limit";
 }
 
 // Guards against limits that never adapt, or never recover.
