--- a/Libraries/LibControl/HistoryService.h
+++ b/Libraries/LibControl/HistoryService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibControl/Queries.h>
 #include <LibCore/DecisionRole.h>
 #include <LibTrace/AuditTrail.h>
 #include <LibTrace/RequestHistory.h>
@@ -8,9 +9,6 @@
 
 namespace jaybridge {
 
-/// Names one question of an operator until it is answered.
-using QueryId = Ordinal<struct QueryIdTag>;
-
 struct TraceAsked {
   QueryId Query_;
   RequestId Request_;
