--- a/Libraries/LibCore/Identifier.h
+++ b/Libraries/LibCore/Identifier.h
@@ -38,7 +38,12 @@
   constexpr std::uint64_t value() const { return Value_; }
   constexpr Ordinal next() const { return Ordinal(Value_ + 1); }
 
-  friend constexpr auto operator<=>(const Ordinal &, const Ordinal &) = default;
+  friend constexpr bool operator==(Ordinal Left, Ordinal Right) {
+    return Left.Value_ == Right.Value_;
+  }
+  friend constexpr auto operator<=>(Ordinal Left, Ordinal Right) {
+    return Left.Value_ <=> Right.Value_;
+  }
 
 private:
   std::uint64_t Value_ = 0;
