--- /dev/null
+++ b/Libraries/LibCore/PeerMessage.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+namespace jaybridge {
+
+/// Effect of a decision object: a message for one member of the fleet.
+template <typename Message> struct SendToMember {
+  MemberId To_;
+  Message Message_;
+};
+
+/// Event of a decision object: a message from one member of the fleet.
+template <typename Message> struct FromMember {
+  MemberId From_;
+  Message Message_;
+};
+
+} // namespace jaybridge
