--- a/Libraries/LibHTTP/RequestIdGenerator.cpp
+++ b/Libraries/LibHTTP/RequestIdGenerator.cpp
@@ -26,4 +26,15 @@
   return RequestId(Prefix_ + hexadecimal(++Last_));
 }
 
+MemberId memberOf(const RequestId &Id) {
+  const std::string &Text = Id.text();
+  std::size_t Counter = Text.rfind('-');
+  if (Counter == std::string::npos || Counter == 0)
+    return MemberId();
+  std::size_t Start = Text.rfind('-', Counter - 1);
+  if (Start == std::string::npos)
+    return MemberId();
+  return MemberId(Text.substr(0, Start));
+}
+
 } // namespace jaybridge
--- a/Libraries/LibHTTP/RequestIdGenerator.h
+++ b/Libraries/LibHTTP/RequestIdGenerator.h
@@ -20,4 +20,7 @@
   std::uint64_t Last_ = 0;
 };
 
+/// The member that received the request from its caller.
+MemberId memberOf(const RequestId &Id);
+
 } // namespace jaybridge
