--- a/Libraries/LibHTTP/CallerListener.cpp
+++ b/Libraries/LibHTTP/CallerListener.cpp
@@ -4,17 +4,14 @@
 #include <LibHTTP/ProblemDocument.h>
 #include <LibHTTP/RequestIdGenerator.h>
 #include <LibHTTP/RequestReader.h>
+#include <LibHTTP/ServerThread.h>
 #include <LibRuntime/SystemClock.h>
 
-#include <restinio/all.hpp>
-
 #include <atomic>
 #include <condition_variable>
-#include <future>
 #include <map>
 #include <mutex>
 #include <set>
-#include <thread>
 
 namespace jaybridge {
 
@@ -60,8 +57,6 @@
   static constexpr bool use_connection_count_limiter = true;
 };
 
-using HTTPServer = restinio::http_server_t<Traits>;
-
 /// Number of answers that are due or being written. Shared with the write
 /// notifications, which may outlive the server.
 class OpenAnswers {
@@ -107,54 +102,34 @@
   ~Server() { stop(); }
 
   Status start() {
-    std::promise<Status> Opened;
-    std::uint16_t BoundPort = 0;
-    try {
-      HTTP_ = std::make_unique<HTTPServer>(
-          restinio::external_io_context(*Context_), settings(BoundPort));
-      HTTP_->open_sync();
-    } catch (const std::exception &Failure) {
-      HTTP_.reset();
-      return Error{ErrorCode::Unavailable,
-                   "cannot listen on " + Options_.Address_.text() + ": " +
-                       Failure.what(),
-                   {}};
-    }
-    JAYBRIDGE_TRY(Address_, Endpoint::create(Options_.Address_.address(),
-                                             Port(BoundPort)));
-    Thread_ = std::thread([this] { Context_->run(); });
+    JAYBRIDGE_TRY(Address_, Thread_.start(Options_.Address_, settings()));
     return success();
   }
 
   void stop() {
-    if (!Thread_.joinable())
-      return;
-    Context_->stop();
-    Thread_.join();
+    Thread_.stop();
     Pending_.clear();
-    HTTP_.reset();
   }
 
   void stopAccepting() {
-    restinio::asio_ns::post(*Context_, [this] {
+    Thread_.post([this] {
       Draining_ = true;
-      closeAcceptor();
+      Thread_.closeAcceptor();
     });
   }
 
   void answer(const RequestId &Id, Answer Given, ConfigurationVersion Version) {
-    restinio::asio_ns::post(
-        *Context_, [this, Id, Given = std::move(Given), Version]() mutable {
-          auto Found = Pending_.find(Id);
-          if (Found == Pending_.end()) {
-            count(AnswersWithoutCaller_);
-            return;
-          }
-          PendingRequest Request = std::move(Found->second);
-          Pending_.erase(Found);
-          forget(Request.Handle_->connection_id(), Id);
-          write(std::move(Request), Id, Given, Version);
-        });
+    Thread_.post([this, Id, Given = std::move(Given), Version]() mutable {
+      auto Found = Pending_.find(Id);
+      if (Found == Pending_.end()) {
+        count(AnswersWithoutCaller_);
+        return;
+      }
+      PendingRequest Request = std::move(Found->second);
+      Pending_.erase(Found);
+      forget(Request.Handle_->connection_id(), Id);
+      write(std::move(Request), Id, Given, Version);
+    });
   }
 
   bool waitUntilAnswered(Duration Limit) { return Open_->waitUntilNone(Limit); }
@@ -166,11 +141,9 @@
   }
 
 private:
-  restinio::server_settings_t<Traits> settings(std::uint16_t &BoundPort) {
+  restinio::server_settings_t<Traits> settings() {
     restinio::server_settings_t<Traits> Settings;
-    Settings.port(Options_.Address_.port().value())
-        .address(Options_.Address_.address())
-        .max_pipelined_requests(PipelinedRequests)
+    Settings.max_pipelined_requests(PipelinedRequests)
         .max_parallel_connections(Options_.ConnectionLimit_.value())
         .handle_request_timeout(HandlingLimit)
         .write_http_response_timelimit(WritingLimit)
@@ -178,12 +151,6 @@
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}.max_body_size(
                 Options_.BodyLimit_.value() * ReadLimitFactor))
-        .socket_options_setter([](auto &Socket) {
-          Socket.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
-        })
-        .acceptor_post_bind_hook([&BoundPort](auto &Acceptor) {
-          BoundPort = Acceptor.local_endpoint().port();
-        })
         .connection_state_listener(std::make_shared<ConnectionWatch>(
             [this](ConnectionNumber Closed) { onClosed(Closed); }))
         .request_handler([this](restinio::request_handle_t Received) { // NOLINT
@@ -192,14 +159,6 @@
     return Settings;
   }
 
-  void closeAcceptor() {
-    try {
-      HTTP_->close_sync();
-    } catch (const std::exception &) {
-      // The acceptor is closed when the server is destroyed.
-    }
-  }
-
   restinio::request_handling_status_t
   onRequest(restinio::request_handle_t Received) {
     count(Received_);
@@ -348,16 +307,12 @@
   std::atomic<std::uint64_t> Gone_ = 0;
   std::atomic<std::uint64_t> AnswersWithoutCaller_ = 0;
 
-  // Used by the listener's thread only. Connections refer to the context, so
-  // it is destroyed last.
-  std::unique_ptr<restinio::asio_ns::io_context> Context_ =
-      std::make_unique<restinio::asio_ns::io_context>(1);
+  // Used by the listener's thread only.
   std::map<RequestId, PendingRequest> Pending_;
   std::map<ConnectionNumber, std::set<RequestId>> ByConnection_;
   ConfigurationVersion LastVersion_;
   bool Draining_ = false;
-  std::unique_ptr<HTTPServer> HTTP_;
-  std::thread Thread_;
+  ServerThread<Traits> Thread_;
 };
 
 CallerListener::CallerListener(std::unique_ptr<Server> Running)
