LibReplication: Add the replicated log of the control members

Cause: configuration changes must survive lost disks, cut-off leaders and restarts, and every member must apply the same changes in the same order. A voter is a member with its data folder, so a member that lost its disk is a new voter and the old one leaves after the new one has joined. Replacing the voter in one step was ruled out: majorities before and after it need not intersect.

--- /dev/null
+++ b/Libraries/LibReplication/FollowerProgress.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <LibReplication/ReplicationMessages.h>
+
+namespace jaybridge {
+
+/// What a leader knows about one receiver of its log.
+struct FollowerProgress {
+  LogIndex Next_;
+  LogIndex Match_;
+  /// Round of the answer that last raised `Match_`.
+  ReplicationRound MatchRound_;
+  /// Latest round that was answered.
+  ReplicationRound AnsweredRound_;
+  TimePoint LastHeard_;
+  bool IsInFlight_ = false;
+  /// The snapshot under transfer and how much of it has arrived.
+  LogIndex SnapshotIndex_;
+  SnapshotOffset SnapshotSent_;
+};
+
+struct PendingRead {
+  ReadId Id_;
+  LogIndex Index_;
+  ReplicationRound Round_;
+  TimePoint Deadline_;
+};
+
+} // namespace jaybridge
--- /dev/null
+++ b/Tests/LibReplication/TestReplicationFaults.cpp
@@ -0,0 +1,137 @@
+#include "ReplicationGroup.h"
+
+namespace jaybridge {
+namespace {
+
+struct FaultCase {
+  std::size_t Size_;
+  std::uint64_t Seed_;
+};
+
+/// Drives a group through random faults while operators race each other with
+/// changes based on equal versions and resend them.
+class ReplicationFaultTest : public testing::TestWithParam<FaultCase> {
+protected:
+  ReplicationFaultTest()
+      : Random_(RandomSeed(GetParam().Seed_)),
+        Group_(GetParam().Size_, GetParam().Seed_) {}
+
+  std::size_t anyone() { return Random_.below(Group_.size()); }
+
+  void proposeOrRead() {
+    std::size_t Member = Group_.leader().value_or(anyone());
+    if (Random_.below(4) == 0)
+      Member = anyone();
+    if (!Group_.isUp(Member))
+      return;
+    if (Random_.below(5) == 0) {
+      (void)Group_.read(Member);
+      return;
+    }
+    // One change in three is a resend; two in three race for one version.
+    bool IsResend = !Sent_.empty() && Random_.below(3) == 0;
+    if (!IsResend) {
+      ProfileDraft Draft;
+      Draft.Name_ = ProfileName("p" + std::to_string(Random_.below(4)));
+      Draft.Weight_ =
+          ClassWeight(1 + static_cast<std::uint32_t>(Random_.below(100)));
+      ConfigurationAction Action = CreateProfile{Draft};
+      if (Random_.below(2) == 0)
+        Action = UpdateProfile{Draft};
+      Sent_.push_back(ConfigurationChange{
+          ChangeRequestId("r" + std::to_string(Sent_.size())),
+          Group_.catalog(Member).version(),
+          OperatorName("operator-" + std::to_string(Random_.below(2))),
+          WallTime{}, Action});
+    }
+    (void)Group_.propose(Member, IsResend ? Sent_[Random_.below(Sent_.size())]
+                                          : Sent_.back());
+  }
+
+  /// A folder is lost only while its member alone has lost one, and the group
+  /// is given time to replace it: losing the disks of a majority loses changes.
+  void loseOneDisk() {
+    bool IsWhole = true;
+    for (std::size_t I = 0; I < Group_.size(); ++I)
+      IsWhole = IsWhole && Group_.isUp(I) && Group_.log(I).isVoter() &&
+                !Group_.log(I).members().Replacement_ &&
+                Group_.log(I).members().Voters_.size() == Group_.size();
+    if (!IsWhole)
+      return;
+    std::size_t Member = anyone();
+    Group_.kill(Member);
+    Group_.loseDisk(Member);
+    Group_.start(Member);
+    ++DisksLost_;
+  }
+
+  void injectFault() {
+    std::size_t Member = anyone();
+    std::size_t Other = anyone();
+    switch (Random_.below(8)) {
+    case 0:
+    case 1:
+      if (Group_.isUp(Member))
+        Group_.kill(Member);
+      break;
+    case 2:
+      Group_.setCut(Member, Other, true);
+      break;
+    case 3:
+      Group_.setCut(Member, Other, true);
+      Group_.setCut(Other, Member, true);
+      break;
+    case 4:
+      Group_.setFrozen(Member, true);
+      break;
+    case 5:
+      loseOneDisk();
+      break;
+    default:
+      Group_.healAll();
+    }
+  }
+
+  Random Random_;
+  ReplicationGroup Group_;
+  std::vector<ConfigurationChange> Sent_;
+  int DisksLost_ = 0;
+};
+
+// Guards against a committed change that is lost, replaced or applied in
+// another order, and against two winners of one version, under kills, lost
+// disks, cuts, freezes, delays, duplicates and restarts.
+TEST_P(ReplicationFaultTest, KeepsCommittedChanges) {
+  for (int Round = 0; Round < 60 && !HasFatalFailure(); ++Round) {
+    injectFault();
+    for (int I = 0; I < 6; ++I) {
+      proposeOrRead();
+      Group_.run(Duration(static_cast<Duration::rep>(Random_.below(400000))));
+    }
+  }
+  Group_.healAll();
+  ASSERT_TRUE(Group_.runUntil(std::chrono::seconds(60),
+                              [&] { return Group_.leader().has_value(); }));
+  Group_.run(std::chrono::seconds(60));
+  Group_.expectAgreement();
+  EXPECT_GT(Group_.committed().size(), 20U);
+  RecordProperty("committed", static_cast<int>(Group_.committed().size()));
+  RecordProperty("disks_lost", DisksLost_);
+}
+
+std::vector<FaultCase> faultCases() {
+  std::vector<FaultCase> Cases;
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed)
+    Cases.push_back(FaultCase{Seed % 2 == 0 ? 5U : 3U, Seed});
+  return Cases;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ReplicationFaultTest,
+                         testing::ValuesIn(faultCases()),
+                         [](const testing::TestParamInfo<FaultCase> &Info) {
+                           return "Members" + std::to_string(Info.param.Size_) +
+                                  "Seed" + std::to_string(Info.param.Seed_);
+                         });
+
+} // namespace
+} // namespace jaybridge
