--- a/Tests/Scenarios/DetectionFleet.h
+++ b/Tests/Scenarios/DetectionFleet.h
@@ -143,6 +143,10 @@
     Credit_ += PerTick;
     for (; Credit_ >= 1; Credit_ -= 1) {
       std::size_t G = Random_.below(Shape_.Gateways_);
+      // Gateways start one after another, so that their reports are spread.
+      if (Now_ <
+          TimePoint{} + G * std::chrono::milliseconds(500) / Shape_.Gateways_)
+        continue;
       std::size_t I = Random_.below(Shape_.Instances_);
       for (std::size_t Try = 0; Listed_[G][I] && Try < Shape_.Instances_; ++Try)
         I = (I + 1) % Shape_.Instances_;
--- a/Tests/Scenarios/TestDetectionScenarios.cpp
+++ b/Tests/Scenarios/TestDetectionScenarios.cpp
@@ -16,6 +16,9 @@
     46, 7, 60, ErrorRate(1e-2), ErrorRate(1e-2), Percentage(70)};
 const FleetShape AgencyGreat{
     46, 14, 60, ErrorRate(1e-2), ErrorRate(1e-2), Percentage(70)};
+/// The same with the four homes of a service in place of all gateways.
+const FleetShape FourHomes{
+    4, 12, 60, ErrorRate(1e-2), ErrorRate(1e-2), Percentage(70)};
 const FleetShape Teranga{
     46, 15, 40, ErrorRate(1e-6), ErrorRate(1e-2), Percentage(70)};
 const FleetShape TerangaSmall{
@@ -53,10 +56,12 @@
 
 Summary measure(const DetectionCase &Case, bool IsBaseline) {
   constexpr std::uint64_t Runs = 40;
-  constexpr Duration Before = seconds(6);
+  constexpr Duration Warmup = seconds(6);
   constexpr Duration After = seconds(20);
   Summary All;
   for (std::uint64_t Seed = 1; Seed <= Runs; ++Seed) {
+    // The fault starts anywhere between two reports.
+    Duration Before = Warmup + Seed * std::chrono::milliseconds(130);
     FleetResult Run = DetectionFleet(Case.Shape_, Case.Fault_, Seed, IsBaseline)
                           .run(Before, After);
     if (Run.Applied_)
@@ -141,6 +146,9 @@
     testing::Values(
         DetectionCase{"HalfFailingAgency", Agency, halfFailing, 1s},
         DetectionCase{"HalfFailingAgencyGreat", AgencyGreat, halfFailing, 1s},
+        DetectionCase{"HalfFailingFourHomes", FourHomes, halfFailing, 1s},
+        DetectionCase{"StragglerFourHomes", FourHomes, straggler, 3s},
+        DetectionCase{"OneWayCutFourHomes", FourHomes, oneWayCut, 0s},
         DetectionCase{"HalfFailingTeranga", Teranga, halfFailing, 2s},
         DetectionCase{"GrayBehindGoodProbes", Agency, grayBehindGoodProbes, 1s},
         DetectionCase{"StragglerAgency", Agency, straggler, 3s},
@@ -153,25 +161,46 @@
         DetectionCase{"OneWayCutTeranga", TerangaSmall, oneWayCut, 0s}),
     CaseName());
 
-// Guards against ejections of healthy instances at the rate of the profile.
+struct HealthyCase {
+  const char *Name_;
+  std::size_t Gateways_;
+  Fault Behave_;
+};
+
+class HealthyHours : public testing::TestWithParam<HealthyCase> {};
+
+// Guards against ejections of healthy instances above the rate of the profile.
 // JAYBRIDGE_HEALTHY_HOURS sets the instance-hours; the target of 1,000 takes
 // minutes and is measured apart from the daily tests.
-TEST(HealthyHours, TerangaEjectsNothing) {
+TEST_P(HealthyHours, TerangaEjectsNothing) {
   const char *Setting = std::getenv("JAYBRIDGE_HEALTHY_HOURS");
-  double Hours = Setting ? std::atof(Setting) : 10;
+  double Hours = Setting ? std::atof(Setting) : 5;
   FleetShape Shape = Teranga;
+  Shape.Gateways_ = GetParam().Gateways_;
   auto Length = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::ratio<3600>>(
           Hours / static_cast<double>(Shape.Instances_)));
-  FleetResult Run = DetectionFleet(Shape, healthy, 1).run(Length, 0s);
-  std::printf("%zu ejections in %.0f healthy instance-hours, profile error "
+  FleetResult Run =
+      DetectionFleet(Shape, GetParam().Behave_, 1).run(0s, Length);
+  std::printf("%s: %zu ejections in %.0f healthy instance-hours, profile error "
               "rate 1e-6, %.2f reports/s and gateway\n",
-              Run.Ejections_, Hours,
+              GetParam().Name_, Run.Ejections_, Hours,
               static_cast<double>(Run.Reports_) /
                   static_cast<double>(Shape.Gateways_) /
                   std::chrono::duration<double>(Length).count());
   EXPECT_EQ(Run.Ejections_, 0U);
 }
 
+/// Healthy instances of one pool that differ by up to 30% in speed.
+Behaviour unequal(std::size_t I, std::size_t, Duration) {
+  return {0.002, 0.85 + 0.1 * static_cast<double>(I % 4), true};
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, HealthyHours,
+                         testing::Values(HealthyCase{"Gateways46", 46, healthy},
+                                         HealthyCase{"FourHomesUnequal", 4,
+                                                     unequal}),
+                         CaseName());
+
 } // namespace
 } // namespace jaybridge
