--- a/Libraries/LibControl/ConfigurationMessages.h
+++ b/Libraries/LibControl/ConfigurationMessages.h
@@ -34,9 +34,8 @@
   std::optional<MemberId> TryInstead_;
 };
 
-using ConfigurationMessage =
-    std::variant<ChangeForwarded, ChangeDecided, CatalogForwarded,
-                 CatalogProvided>;
+using ConfigurationMessage = std::variant<ChangeForwarded, ChangeDecided,
+                                          CatalogForwarded, CatalogProvided>;
 
 // Events.
 
@@ -86,15 +85,15 @@
 
 /// Turns changes and catalogs into the log's opaque payloads and back.
 template <typename Codec>
-concept ConfigurationCodec =
-    requires(const ConfigurationChange &Change,
-             const ConfigurationSnapshot &Snapshot, const std::string &Text) {
-      requires std::same_as<decltype(Codec::encode(Change)), std::string>;
-      requires std::same_as<decltype(Codec::encode(Snapshot)), std::string>;
-      requires std::same_as<decltype(Codec::decodeChange(Text)),
-                            Result<ConfigurationChange>>;
-      requires std::same_as<decltype(Codec::decodeSnapshot(Text)),
-                            Result<ConfigurationSnapshot>>;
-    };
+concept ConfigurationCodec = requires(const ConfigurationChange &Change,
+                                      const ConfigurationSnapshot &Snapshot,
+                                      const std::string &Text) {
+  requires std::same_as<decltype(Codec::encode(Change)), std::string>;
+  requires std::same_as<decltype(Codec::encode(Snapshot)), std::string>;
+  requires std::same_as<decltype(Codec::decodeChange(Text)),
+                        Result<ConfigurationChange>>;
+  requires std::same_as<decltype(Codec::decodeSnapshot(Text)),
+                        Result<ConfigurationSnapshot>>;
+};
 
 } // namespace jaybridge
--- a/Libraries/LibControl/ConfigurationService.h
+++ b/Libraries/LibControl/ConfigurationService.h
@@ -85,8 +85,8 @@
     if (!Log_)
       return;
     LastProposal_ = LastProposal_.next();
-    Changes_[LastProposal_] = PendingChange{{From, Forwarded.Query_},
-                                            Forwarded.Change_.RequestId_};
+    Changes_[LastProposal_] =
+        PendingChange{{From, Forwarded.Query_}, Forwarded.Change_.RequestId_};
     feedLog(Propose{LastProposal_, Codec::encode(Forwarded.Change_)}, Now, Out);
   }
 
--- /dev/null
+++ b/Libraries/LibOperator/TraceJson.cpp
@@ -0,0 +1,75 @@
+#include <LibOperator/TraceJson.h>
+
+#include <nlohmann/json.hpp>
+
+namespace jaybridge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const char *stepName(StepKind Kind) {
+  switch (Kind) {
+  case StepKind::Received:
+    return "received";
+  case StepKind::Queued:
+    return "queued";
+  case StepKind::Claimed:
+    return "claimed";
+  case StepKind::Dispatched:
+    return "dispatched";
+  case StepKind::AttemptEnded:
+    return "attempt-ended";
+  case StepKind::Retried:
+    return "retried";
+  case StepKind::Hedged:
+    return "hedged";
+  case StepKind::Forwarded:
+    return "forwarded";
+  case StepKind::Answered:
+    return "answered";
+  case StepKind::Refused:
+    return "refused";
+  }
+  return "received";
+}
+
+Json stepJson(const TimedStep &Timed, TimePoint First) {
+  const RecordStep &Step = Timed.Step_;
+  Json Fields = {{"at_us", (Timed.At_ - First).count()},
+                 {"step", stepName(Step.Kind_)},
+                 {"service", Step.Service_.text()},
+                 {"version", Step.Version_.value()},
+                 {"detail", Step.Detail_}};
+  if (!Step.Instance_.isEmpty())
+    Fields["instance"] = Step.Instance_.text();
+  if (!Step.Domain_.isEmpty())
+    Fields["failure_domain"] = Step.Domain_.text();
+  return Fields;
+}
+
+} // namespace
+
+Json traceJson(const std::vector<TimedStep> &Steps) {
+  Json Rows = Json::array();
+  for (const TimedStep &Timed : Steps)
+    Rows.push_back(stepJson(Timed, Steps.front().At_));
+  return {{"steps", Rows}};
+}
+
+Json auditJson(const std::vector<AuditEntry> &Entries) {
+  Json Rows = Json::array();
+  for (const AuditEntry &Entry : Entries)
+    Rows.push_back({{"at_ms", Entry.At_.time_since_epoch().count()},
+                    {"kind", auditKindName(Entry.Kind_)},
+                    {"actor", Entry.Actor_},
+                    {"service", Entry.Service_.text()},
+                    {"based_on", Entry.BasedOn_.value()},
+                    {"version", Entry.Version_.value()},
+                    {"request_id", Entry.RequestId_.text()},
+                    {"outcome", Entry.Outcome_},
+                    {"detail", Entry.Detail_}});
+  return {{"entries", Rows}};
+}
+
+} // namespace jaybridge
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -32,8 +32,8 @@
         GatewayEvent(RequestReceived{std::move(Received), false}));
   };
   Sinks.Gone_ = [&Self](RequestId Id) { Self.post(CallerGone{std::move(Id)}); };
-  JAYBRIDGE_TRY(Self.Callers_, CallerListener::create(Options.Callers_,
-                                                      std::move(Sinks)));
+  JAYBRIDGE_TRY(Self.Callers_,
+                CallerListener::create(Options.Callers_, std::move(Sinks)));
   return Path;
 }
 
@@ -61,11 +61,10 @@
 }
 
 RequestPathCounts RequestPath::counts() const {
-  return RequestPathCounts{EventCount(Counters_.Answered_),
-                           EventCount(Counters_.RefusedNotRun_),
-                           EventCount(Counters_.RefusedRan_),
-                           EventCount(Counters_.RefusedUnknown_),
-                           EventCount(Counters_.RingsFull_)};
+  return RequestPathCounts{
+      EventCount(Counters_.Answered_), EventCount(Counters_.RefusedNotRun_),
+      EventCount(Counters_.RefusedRan_), EventCount(Counters_.RefusedUnknown_),
+      EventCount(Counters_.RingsFull_)};
 }
 
 bool RequestPath::drain(Duration Limit) {
@@ -111,11 +110,10 @@
   ++Counters_.RingsFull_;
   // An earlier copy of the request may have run, so the refusal cannot say
   // not-run.
-  return ClaimDecided{std::move(Id),
-                      Answer(Refusal{Outcome::Unknown,
-                                     RefusalReason::LedgerUnavailable,
-                                     std::chrono::seconds(1),
-                                     "the ledger's ring is full"})};
+  return ClaimDecided{
+      std::move(Id),
+      Answer(Refusal{Outcome::Unknown, RefusalReason::LedgerUnavailable,
+                     std::chrono::seconds(1), "the ledger's ring is full"})};
 }
 
 std::optional<GatewayEvent> RequestPath::deliver(ReleaseKey &Effect) {
--- a/Tests/Support/TestFleet.cpp
+++ b/Tests/Support/TestFleet.cpp
@@ -57,7 +57,8 @@
   JAYBRIDGE_VERIFY(::mkdtemp(Template.data()) != nullptr);
   Folder_ = Template;
   for (const char *Token : {"operator", "announce", "peer"})
-    writeFile(Folder_ + "/" + Token + ".token", std::string(Token) + "-secret");
+    writeFile(Folder_ + "/" + Token + ".token",
+              std::string(Token) + "-token-of-a-test");
 }
 
 TestFleet::~TestFleet() {
