--- a/Libraries/LibReplication/ReplicatedLog.cpp
+++ b/Libraries/LibReplication/ReplicatedLog.cpp
@@ -170,6 +170,7 @@
     return;
   Log_.compact(Taken.Index_, Taken.State_);
   PersistLog Write;
+  Write.Vote_ = Vote_;
   Write.Snapshot_ = Log_.snapshot();
   Write.Entries_ = Log_.all();
   persist(std::move(Write), S);
--- a/Libraries/LibReplication/ReplicatedLogFollower.cpp
+++ b/Libraries/LibReplication/ReplicatedLogFollower.cpp
@@ -113,6 +113,7 @@
   IsSnapshotAsked_ = false;
   CommitIndex_ = Request.LastIndex_;
   PersistLog Write;
+  Write.Vote_ = Vote_;
   Write.Snapshot_ = Log_.snapshot();
   Write.Entries_ = Log_.all();
   persist(std::move(Write), S);
--- a/Libraries/LibReplication/ReplicationMessages.h
+++ b/Libraries/LibReplication/ReplicationMessages.h
@@ -152,8 +152,8 @@
 };
 
 /// To be written in order and answered with `Persisted` once synced. A snapshot
-/// replaces the whole file; `Entries_` are then all entries that stay. Without
-/// one, an entry replaces those with the same or a greater index.
+/// replaces all earlier writes: vote and entries that stay come with it.
+/// Without one, an entry replaces those with the same or a greater index.
 struct PersistLog {
   PersistSequence Sequence_;
   std::optional<TermVote> Vote_;
--- a/Tests/LibReplication/ReplicationGroup.cpp
+++ b/Tests/LibReplication/ReplicationGroup.cpp
@@ -13,20 +13,19 @@
   return Parts;
 }
 
-/// Writes as a data folder does: the snapshot replaces the whole content.
-void write(RecoveredLog &Disk, const PersistLog &Write) {
-  if (Write.Vote_)
-    Disk.Vote_ = *Write.Vote_;
-  if (Write.Snapshot_) {
-    Disk.Snapshot_ = Write.Snapshot_;
-    Disk.Entries_.clear();
-  }
-  for (const LogEntry &Entry : Write.Entries_) {
-    while (!Disk.Entries_.empty() &&
-           Disk.Entries_.back().Index_ >= Entry.Index_)
-      Disk.Entries_.pop_back();
-    Disk.Entries_.push_back(Entry);
-  }
+/// Writes as a data folder does: a snapshot replaces all earlier writes.
+void write(std::vector<PersistLog> &Disk, PersistLog Write) {
+  if (Write.Snapshot_)
+    Disk.clear();
+  Disk.push_back(std::move(Write));
+}
+
+RecoveredLog recover(FolderGeneration Generation,
+                     const std::vector<PersistLog> &Disk) {
+  LogRecovery Recovery(Generation);
+  for (const PersistLog &Write : Disk)
+    Recovery.add(Write);
+  return Recovery.take();
 }
 
 } // namespace
@@ -46,7 +45,7 @@
 std::size_t ReplicationGroup::addMember() {
   Replica Added;
   Added.Id_ = id(Members_.size());
-  Added.Disk_.Generation_ = FolderGeneration(Random_.next());
+  Added.Generation_ = FolderGeneration(Random_.next());
   Members_.push_back(std::move(Added));
   start(Members_.size() - 1);
   return Members_.size() - 1;
@@ -64,8 +63,9 @@
   ReplicationSettings Settings;
   Settings.Self_ = M.Id_;
   Settings.Members_ = Configured_;
-  auto Created = ReplicatedLog::create(Settings, M.Disk_,
-                                       RandomSeed(Random_.next()), Now_);
+  auto Created =
+      ReplicatedLog::create(Settings, recover(M.Generation_, M.Disk_),
+                            RandomSeed(Random_.next()), Now_);
   ASSERT_TRUE(Created) << Created.error().Message_;
   M.Log_ = std::make_unique<ReplicatedLog>(Created.takeValue());
   M.Catalog_ = ConfigurationCatalog();
@@ -74,8 +74,8 @@
 
 void ReplicationGroup::loseDisk(std::size_t Member) {
   ASSERT_FALSE(isUp(Member));
-  Members_[Member].Disk_ = RecoveredLog{};
-  Members_[Member].Disk_.Generation_ = FolderGeneration(Random_.next());
+  Members_[Member].Disk_.clear();
+  Members_[Member].Generation_ = FolderGeneration(Random_.next());
 }
 
 void ReplicationGroup::setFrozen(std::size_t Member, bool IsFrozen) {
@@ -133,7 +133,7 @@
                  : Item.Run_ != M.Run_)
     return;
   if (Item.Write_)
-    write(M.Disk_, *Item.Write_);
+    write(M.Disk_, std::move(*Item.Write_));
   Item.Write_.reset();
   if (!M.Log_)
     return;
--- a/Tests/LibReplication/ReplicationGroup.h
+++ b/Tests/LibReplication/ReplicationGroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibProfile/ConfigurationCatalog.h>
+#include <LibReplication/LogRecovery.h>
 #include <LibReplication/ReplicatedLog.h>
 
 #include <gtest/gtest.h>
@@ -76,7 +77,8 @@
 private:
   struct Replica {
     MemberId Id_;
-    RecoveredLog Disk_;
+    FolderGeneration Generation_;
+    std::vector<PersistLog> Disk_;
     std::unique_ptr<ReplicatedLog> Log_;
     ConfigurationCatalog Catalog_;
     std::vector<std::string> Applied_;
--- /dev/null
+++ b/Tests/LibStorage/FaultyFiles.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibStorage/FileOperations.h>
+
+#include <memory>
+
+namespace jaybridge {
+
+/// What goes wrong from now on; shared by the copies of one FaultyFiles.
+struct FileFaults {
+  bool IsSyncFailing_ = false;
+  bool IsFolderSyncFailing_ = false;
+  bool IsRenameFailing_ = false;
+  /// Bytes that still fit on the disk.
+  std::uint64_t FreeBytes_ = ~std::uint64_t(0);
+  int FileSyncs_ = 0;
+  int FolderSyncs_ = 0;
+};
+
+/// The kernel's operations with injected faults.
+class FaultyFiles : public PosixFiles {
+public:
+  explicit FaultyFiles(std::shared_ptr<FileFaults> Faults)
+      : Faults_(std::move(Faults)) {}
+
+  Status append(const FileDescriptor &Descriptor, std::string_view Data,
+                const std::string &Path) {
+    std::string_view Fitting = Data.substr(0, Faults_->FreeBytes_);
+    Faults_->FreeBytes_ -= Fitting.size();
+    JAYBRIDGE_TRY_STATUS(PosixFiles::append(Descriptor, Fitting, Path));
+    if (Fitting.size() == Data.size())
+      return success();
+    return Error{ErrorCode::Full, "cannot write " + Path + ": disk full", {}};
+  }
+
+  Status sync(const FileDescriptor &Descriptor, const std::string &Path) {
+    ++Faults_->FileSyncs_;
+    if (Faults_->IsSyncFailing_)
+      return Error{ErrorCode::Internal, "cannot sync " + Path, {}};
+    return PosixFiles::sync(Descriptor, Path);
+  }
+
+  Status syncFolder(const std::string &Path) {
+    ++Faults_->FolderSyncs_;
+    if (Faults_->IsFolderSyncFailing_)
+      return Error{ErrorCode::Internal, "cannot sync " + Path, {}};
+    return PosixFiles::syncFolder(Path);
+  }
+
+  Status rename(const std::string &From, const std::string &To) {
+    if (Faults_->IsRenameFailing_)
+      return Error{ErrorCode::Internal, "cannot rename " + From, {}};
+    return PosixFiles::rename(From, To);
+  }
+
+private:
+  std::shared_ptr<FileFaults> Faults_;
+};
+
+} // namespace jaybridge
