LibWire: Add the codecs of replication and configuration

Change: two Cap'n Proto schemas with committed generated code, and codecs that append an XXH3 checksum, since Cap'n Proto does not notice changed values.

--- /dev/null
+++ b/Libraries/LibWire/SealedMessage.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibWire/WireBytes.h>
+
+#include <kj/exception.h>
+
+#include <xxhash.h>
+
+// Included by codec .cpp files only.
+
+namespace jaybridge::wire {
+
+inline constexpr std::size_t SealSize = sizeof(XXH64_canonical_t);
+
+/// Longest message that is read: a snapshot of the catalog in one write of a
+/// log, with the entries that stay.
+inline constexpr std::size_t GreatestSealedSize = std::size_t(64) * 1024 * 1024;
+
+inline Error damagedMessage(const std::string &Reason) {
+  return Error{ErrorCode::Damaged, "message is damaged: " + Reason, {}};
+}
+
+inline std::string sealOf(std::string_view Payload) {
+  XXH64_canonical_t Canonical;
+  XXH64_canonicalFromHash(&Canonical,
+                          XXH3_64bits(Payload.data(), Payload.size()));
+  return {reinterpret_cast<const char *>(Canonical.digest), SealSize};
+}
+
+/// The encoded message followed by its checksum: Cap'n Proto alone does not
+/// notice changed values.
+inline std::string sealed(capnp::MessageBuilder &Message) {
+  std::string Payload = payloadOf(Message);
+  Payload += sealOf(Payload);
+  return Payload;
+}
+
+/// Checks the checksum and passes the root of the message to Read, which
+/// returns a Result. Malformed content is `Damaged`.
+template <typename Root, typename Function>
+auto readSealed(std::string_view Sealed, Function Read)
+    -> decltype(Read(std::declval<typename Root::Reader>())) {
+  if (Sealed.size() < SealSize || Sealed.size() > GreatestSealedSize)
+    return damagedMessage("length");
+  std::string_view Payload = Sealed.substr(0, Sealed.size() - SealSize);
+  if (Sealed.substr(Payload.size()) != sealOf(Payload))
+    return damagedMessage("checksum");
+  try {
+    kj::Array<capnp::word> Words = wordsOf(Payload);
+    capnp::ReaderOptions Options;
+    // Twice the size, since a reader may visit a list to count and to copy it.
+    Options.traversalLimitInWords = 2 * Words.size() + 1024;
+    capnp::FlatArrayMessageReader Reader(Words, Options);
+    return Read(Reader.getRoot<Root>());
+  } catch (const kj::Exception &Failure) {
+    return damagedMessage(Failure.getDescription().cStr());
+  }
+}
+
+} // namespace jaybridge::wire
--- /dev/null
+++ b/Tests/LibWire/TestReplicationCodec.cpp
@@ -0,0 +1,167 @@
+#include <LibWire/ConfigurationCodec.h>
+#include <LibWire/ReplicationCodec.h>
+#include <Support/CaseName.h>
+
+#include <gtest/gtest.h>
+
+namespace jaybridge {
+namespace {
+
+Voter voter(const std::string &Id, std::uint64_t Generation) {
+  return Voter{MemberId(Id), FolderGeneration(Generation)};
+}
+
+VoterSet voters() {
+  return VoterSet{{voter("a", 1), voter("b", 2)},
+                  Replacement{voter("c", 3), voter("a", 1)}};
+}
+
+std::vector<LogEntry> entries() {
+  return {{LogIndex(7), Term(2), LeaderStarted{}},
+          {LogIndex(8), Term(2), LogCommand{std::string("\0\xff x", 4)}},
+          {LogIndex(9), Term(3), voters()}};
+}
+
+struct BodyCase {
+  const char *Name_;
+  ReplicationBody Body_;
+};
+
+class ReplicationCodecTest : public testing::TestWithParam<BodyCase> {
+protected:
+  ReplicationMessage message() const {
+    return ReplicationMessage{voter("a", ~0ULL), Term(4), GetParam().Body_};
+  }
+};
+
+// Guards against a field that is lost or changed on its way to another member.
+TEST_P(ReplicationCodecTest, ReadsBackWhatItWrote) {
+  auto Decoded = decodeReplicationMessage(encodeReplicationMessage(message()));
+  ASSERT_TRUE(Decoded) << Decoded.error().Message_;
+  EXPECT_EQ(Decoded.value(), message());
+}
+
+// Guards against a damaged message that is acted on or ends the process.
+TEST_P(ReplicationCodecTest, RefusesDamage) {
+  std::string Encoded = encodeReplicationMessage(message());
+  for (std::size_t I = 0; I < Encoded.size(); ++I) {
+    std::string Flipped = Encoded;
+    Flipped[I] = static_cast<char>(Flipped[I] ^ (1 << (I % 8)));
+    EXPECT_FALSE(decodeReplicationMessage(Flipped)) << "bit in byte " << I;
+    EXPECT_FALSE(decodeReplicationMessage(Encoded.substr(0, I)));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, ReplicationCodecTest,
+    testing::Values(
+        BodyCase{"VoteRequest", VoteRequest{true, LogIndex(5), Term(3)}},
+        BodyCase{"VoteAnswer", VoteAnswer{false, true, Term(5)}},
+        BodyCase{"AppendRequest",
+                 AppendRequest{LogIndex(6), Term(2), entries(), LogIndex(5),
+                               ReplicationRound(11)}},
+        BodyCase{"AppendAnswer",
+                 AppendAnswer{true, LogIndex(9), ReplicationRound(11)}},
+        BodyCase{"SnapshotRequest",
+                 SnapshotRequest{LogIndex(9), Term(3), voters(),
+                                 SnapshotOffset(64), ByteCount(100), "piece",
+                                 ReplicationRound(12)}},
+        BodyCase{"SnapshotAnswer",
+                 SnapshotAnswer{LogIndex(9), SnapshotOffset(69),
+                                ReplicationRound(12)}},
+        BodyCase{"JoinRequest", JoinRequest{true}},
+        BodyCase{"FormationOffer", FormationOffer{entries()[2]}},
+        BodyCase{"FolderOutdated", FolderOutdated{}}),
+    CaseName());
+
+struct WriteCase {
+  const char *Name_;
+  PersistLog Write_;
+};
+
+class PersistCodecTest : public testing::TestWithParam<WriteCase> {};
+
+// Guards against a vote, snapshot or entry that is gone after a restart.
+TEST_P(PersistCodecTest, ReadsBackWhatItWrote) {
+  const PersistLog &Write = GetParam().Write_;
+  auto Decoded = decodePersistLog(encodePersistLog(Write));
+  ASSERT_TRUE(Decoded) << Decoded.error().Message_;
+  EXPECT_EQ(Decoded.value().Vote_, Write.Vote_);
+  EXPECT_EQ(Decoded.value().Snapshot_, Write.Snapshot_);
+  EXPECT_EQ(Decoded.value().Entries_, Write.Entries_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Writes, PersistCodecTest,
+    testing::Values(WriteCase{"Nothing", {}},
+                    WriteCase{"Term", {{}, TermVote{Term(3), {}}, {}, {}}},
+                    WriteCase{"Vote",
+                              {{}, TermVote{Term(3), voter("b", 2)}, {}, {}}},
+                    WriteCase{"Entries", {{}, {}, {}, entries()}},
+                    WriteCase{"Snapshot",
+                              {{},
+                               TermVote{Term(3), {}},
+                               LogSnapshot{LogIndex(7), Term(2), voters(),
+                                           std::string(100000, '\x01')},
+                               entries()}}),
+    CaseName());
+
+ProfileDraft draft() {
+  ProfileDraft Draft;
+  Draft.Name_ = ProfileName("reads");
+  Draft.Repeat_ = Repeatability::Repeatable;
+  Draft.Patience_ = std::chrono::milliseconds(1500);
+  Draft.Floor_ = Percentage(60);
+  Draft.Weight_ = ClassWeight(7);
+  Draft.RetryBudget_ = Percentage(20);
+  Draft.HedgingAllowed_ = true;
+  Draft.FalseEjection_ = ErrorRate(1e-5);
+  Draft.MissedDetection_ = ErrorRate(0.125);
+  return Draft;
+}
+
+ConfigurationChange change(std::uint64_t BasedOn, ConfigurationAction Action) {
+  return ConfigurationChange{
+      ChangeRequestId("id-" + std::to_string(BasedOn)),
+      ConfigurationVersion(BasedOn), OperatorName("Thi\xc3\xa8s"),
+      WallTime(std::chrono::milliseconds(1234)), std::move(Action)};
+}
+
+std::vector<ConfigurationChange> changes() {
+  return {change(0, CreateProfile{draft()}), change(1, UpdateProfile{draft()}),
+          change(2, AssignService{ServiceName("tarifs"), ProfileName("reads")}),
+          change(9, UpdateProfile{draft()})};
+}
+
+class ChangeCodecTest : public testing::TestWithParam<std::size_t> {};
+
+// Guards against a change that takes effect with other values than it was
+// accepted with, and against damaged changes.
+TEST_P(ChangeCodecTest, ReadsBackAndRefusesDamage) {
+  ConfigurationChange Change = changes()[GetParam()];
+  std::string Encoded = encodeConfigurationChange(Change);
+  auto Decoded = decodeConfigurationChange(Encoded);
+  ASSERT_TRUE(Decoded) << Decoded.error().Message_;
+  EXPECT_EQ(Decoded.value(), Change);
+  for (std::size_t I = 0; I < Encoded.size(); ++I)
+    EXPECT_FALSE(decodeConfigurationChange(Encoded.substr(0, I)));
+  Encoded[Encoded.size() / 2] ^= 1;
+  EXPECT_FALSE(decodeConfigurationChange(Encoded));
+}
+
+INSTANTIATE_TEST_SUITE_P(Changes, ChangeCodecTest, testing::Values(0, 1, 2, 3));
+
+// Guards against a catalog that differs after it went through a snapshot.
+TEST(ConfigurationSnapshotCodec, ReadsBackTheCatalog) {
+  ConfigurationCatalog Catalog;
+  for (const ConfigurationChange &Each : changes())
+    (void)Catalog.apply(Each);
+  auto Decoded = decodeConfigurationSnapshot(
+      encodeConfigurationSnapshot(Catalog.snapshot()));
+  ASSERT_TRUE(Decoded) << Decoded.error().Message_;
+  EXPECT_EQ(Decoded.value(), Catalog.snapshot());
+  EXPECT_EQ(Decoded.value().Refused_.size(), 1U);
+}
+
+} // namespace
+} // namespace jaybridge
