LibDirectory: Keep the directory of instances by gossip and leases

Instances announce themselves to any daemon, and no store holds their list. InstanceDirectory pushes changes to four members, compares itself with a random peer every 500 ms (recent changes first, then groups, leaves and marks), and keeps leases at two registrars per leaf, chosen by rendezvous hashing. A registrar asks the other one before it lapses an instance, lapses nothing while no peer confirms it, and takes back a lapse it knows to be wrong. Confirmation counts from the sending of an answered digest.

--- /dev/null
+++ b/Libraries/LibDirectory/DirectoryRepair.cpp
@@ -0,0 +1,184 @@
+// The messages of InstanceDirectory: comparison, repair and leases.
+#include <LibDirectory/InstanceDirectory.h>
+
+#include <utility>
+
+namespace jaybridge {
+
+void InstanceDirectory::receive(const MemberId &From, const RecordExchange &Got,
+                                TimePoint Now, Effects &Out) {
+  for (const InstanceRecord &Each : Got.Records_)
+    apply(Each, Got.IsNews_ ? Origin::News : Origin::Repaired, Now, Out);
+  answerWanted(From, Got.Wanted_, Out);
+}
+
+void InstanceDirectory::receive(const MemberId &From,
+                                const DirectoryDigest &Got, TimePoint,
+                                Effects &Out) {
+  DirectoryDigestAnswer Answer{Got.Round_, Table_.root(), {}};
+  if (Got.Root_ != Table_.root())
+    Answer.Exchange_ = compare(Got.Recent_, recentMarks());
+  send(From, std::move(Answer), Out);
+}
+
+// Only an answer to a digest of this run confirms, counted from when the
+// digest was sent: messages may have waited while the daemon stood still.
+void InstanceDirectory::receive(const MemberId &From,
+                                const DirectoryDigestAnswer &Got, TimePoint Now,
+                                Effects &Out) {
+  receive(From, Got.Exchange_, Now, Out);
+  if (Got.Round_ != Round_)
+    return;
+  ConfirmedAt_ = RoundSentAt_;
+  updateConfirmation(Now, Out);
+  bool IsExplained =
+      !Got.Exchange_.Records_.empty() || !Got.Exchange_.Wanted_.empty();
+  if (Got.Root_ == Table_.root() || !IsLoaded_ ||
+      (IsExplained && Now < NextDescentAt_))
+    return;
+  NextDescentAt_ = Now + DescentPeriod;
+  send(From, GroupDigests{Table_.groups()}, Out);
+}
+
+void InstanceDirectory::receive(const MemberId &From, const GroupDigests &Got,
+                                TimePoint, Effects &Out) {
+  std::vector<RecordDigest> Mine = Table_.groups();
+  if (Got.Groups_.size() != Mine.size())
+    return;
+  std::vector<std::size_t> Different;
+  for (std::size_t I = 0; I < Mine.size(); ++I)
+    if (Mine[I] != Got.Groups_[I])
+      Different.push_back(I);
+  std::size_t Marks = 0;
+  while (!Different.empty()) {
+    auto Chosen = Different.begin() +
+                  static_cast<std::ptrdiff_t>(Numbers_.below(Different.size()));
+    GroupIndex Group(*Chosen);
+    LeafIndex First(Group.value() * RecordTable::LeavesPerGroup);
+    LeafIndex Last(First.value() + RecordTable::LeavesPerGroup - 1);
+    Different.erase(Chosen);
+    RangeMarks Range{First, Last, Table_.marksOf(First, Last)};
+    std::size_t Earlier = std::exchange(Marks, Marks + Range.Marks_.size());
+    if (Marks > MarksPerDescent) {
+      if (Earlier == 0)
+        send(From, LeafDigests{Group, Table_.leavesOf(Group)}, Out);
+      return;
+    }
+    send(From, std::move(Range), Out);
+  }
+}
+
+void InstanceDirectory::receive(const MemberId &From, const LeafDigests &Got,
+                                TimePoint, Effects &Out) {
+  std::vector<RecordDigest> Mine = Table_.leavesOf(Got.Group_);
+  if (Got.Leaves_.size() != Mine.size())
+    return;
+  std::size_t Marks = 0;
+  for (std::size_t I = 0; I < Mine.size() && Marks < MarksPerDescent; ++I) {
+    if (Mine[I] == Got.Leaves_[I])
+      continue;
+    LeafIndex Leaf(Got.Group_.value() * RecordTable::LeavesPerGroup + I);
+    RangeMarks Range{Leaf, Leaf, Table_.marksOf(Leaf, Leaf)};
+    Marks += Range.Marks_.size();
+    send(From, std::move(Range), Out);
+  }
+}
+
+void InstanceDirectory::receive(const MemberId &From, const RangeMarks &Got,
+                                TimePoint Now, Effects &Out) {
+  RecordExchange Exchange =
+      compare(Got.Marks_, Table_.marksOf(Got.First_, Got.Last_));
+  if (Exchange.Records_.size() + Exchange.Wanted_.size() >= ManyRecords)
+    NextDescentAt_ = Now;
+  if (!Exchange.Records_.empty() || !Exchange.Wanted_.empty())
+    send(From, std::move(Exchange), Out);
+}
+
+RecordExchange
+InstanceDirectory::compare(const std::vector<RecordMark> &Theirs,
+                           const std::vector<RecordMark> &Mine) const {
+  RecordExchange Exchange;
+  std::map<RecordKey, RecordDigest> Listed;
+  for (const RecordMark &Each : Theirs) {
+    Listed.emplace(Each.Key_, Each.Digest_);
+    // Digest 0 marks a tombstone that has left the digests.
+    if (Each.Digest_ != RecordDigest() &&
+        Table_.digestOf(Each.Key_) != Each.Digest_ &&
+        Exchange.Wanted_.size() < RecordsPerMessage)
+      Exchange.Wanted_.push_back(Each.Key_);
+  }
+  for (const RecordMark &Each : Mine) {
+    auto Found = Listed.find(Each.Key_);
+    bool IsSame = Found != Listed.end() && Found->second == Each.Digest_;
+    const InstanceRecord *Known = Table_.find(Each.Key_);
+    if (!IsSame && Known && Each.Digest_ != RecordDigest() &&
+        Exchange.Records_.size() < RecordsPerMessage)
+      Exchange.Records_.push_back(*Known);
+  }
+  return Exchange;
+}
+
+void InstanceDirectory::answerWanted(const MemberId &To,
+                                     const std::vector<RecordKey> &Wanted,
+                                     Effects &Out) {
+  RecordExchange Exchange;
+  for (RecordKey Key : Wanted)
+    if (const InstanceRecord *Known = Table_.find(Key);
+        Known && Exchange.Records_.size() < RecordsPerMessage)
+      Exchange.Records_.push_back(*Known);
+  if (!Exchange.Records_.empty())
+    send(To, std::move(Exchange), Out);
+}
+
+void InstanceDirectory::receive(const MemberId &From, const RecordsWanted &Got,
+                                TimePoint, Effects &Out) {
+  RecordsPage Page;
+  Page.Records_ =
+      Table_.recordsAfter(Got.After_, RecordsPerMessage, Page.IsLast_);
+  send(From, std::move(Page), Out);
+}
+
+void InstanceDirectory::receive(const MemberId &, const RecordsPage &Got,
+                                TimePoint Now, Effects &Out) {
+  if (IsLoaded_)
+    return;
+  for (const InstanceRecord &Each : Got.Records_) {
+    apply(Each, Origin::Loaded, Now, Out);
+    LoadedTo_ = keyOf(Each.Id_);
+  }
+  if (!Got.IsLast_) {
+    requestPage(Now, Out);
+    return;
+  }
+  IsLoaded_ = true;
+  PageBy_.reset();
+}
+
+void InstanceDirectory::receive(const MemberId &, const LeaseRenewals &Got,
+                                TimePoint Now, Effects &) {
+  for (RecordKey Key : Got.Keys_)
+    Leases_.renew(Key, Now);
+}
+
+void InstanceDirectory::receive(const MemberId &From, const LapseQuestion &Got,
+                                TimePoint Now, Effects &Out) {
+  send(From, LapseAnswer{Got.Key_, Leases_.isHeld(Got.Key_, Now)}, Out);
+}
+
+void InstanceDirectory::receive(const MemberId &From, const LapseAnswer &Got,
+                                TimePoint Now, Effects &Out) {
+  LeafIndex Leaf = RecordTable::leafOf(Got.Key_);
+  if (!Leases_.has(Got.Key_) || !Registrars_.isRegistrar(From, Leaf))
+    return;
+  if (Got.IsHeld_)
+    Leases_.renew(Got.Key_, Now);
+  else if (!Leases_.isHeld(Got.Key_, Now))
+    lapse(Got.Key_, Now, Out);
+}
+
+void InstanceDirectory::receive(const MemberId &, const LoadHint &Got,
+                                TimePoint, Effects &Out) {
+  Out.emplace_back(LoadLearned{Got});
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibDirectory/LeaseTable.cpp
@@ -0,0 +1,39 @@
+#include <LibDirectory/LeaseTable.h>
+
+namespace jaybridge {
+
+bool LeaseTable::renew(RecordKey Key, TimePoint Now) {
+  auto Found = Leases_.find(Key);
+  if (Found == Leases_.end())
+    return false;
+  Found->second = {Now + Term, 0};
+  return true;
+}
+
+bool LeaseTable::isHeld(RecordKey Key, TimePoint Now) const {
+  auto Found = Leases_.find(Key);
+  return Found != Leases_.end() && Found->second.Questions_ == 0 &&
+         Found->second.DueAt_ > Now;
+}
+
+void LeaseTable::extendAll(TimePoint Now) {
+  for (auto &[Key, Each] : Leases_)
+    if (Each.DueAt_ < Now + Grace)
+      Each = {Now + Grace, 0};
+}
+
+std::vector<std::pair<RecordKey, LapseStep>>
+LeaseTable::takeDue(TimePoint Now) {
+  std::vector<std::pair<RecordKey, LapseStep>> Due;
+  for (auto &[Key, Each] : Leases_) {
+    if (Each.DueAt_ > Now)
+      continue;
+    bool IsLast = Each.Questions_ >= GreatestQuestions;
+    Due.emplace_back(Key, IsLast ? LapseStep::Lapse : LapseStep::Ask);
+    ++Each.Questions_;
+    Each.DueAt_ = Now + AnswerTimeout;
+  }
+  return Due;
+}
+
+} // namespace jaybridge
--- a/Libraries/LibMembership/ServiceHomes.cpp
+++ b/Libraries/LibMembership/ServiceHomes.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-std::uint64_t scoreOf(std::uint64_t MemberHash, std::uint64_t KeyHash) {
+std::uint64_t mixedScore(std::uint64_t MemberHash, std::uint64_t KeyHash) {
   std::uint64_t Mixed = MemberHash ^ KeyHash;
   Mixed = (Mixed ^ (Mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
   Mixed = (Mixed ^ (Mixed >> 27)) * 0x94d049bb133111ebULL;
@@ -23,12 +23,23 @@
 
 void MemberRanking::remove(const MemberId &Id) { Members_.erase(Id); }
 
+RankKey MemberRanking::keyOf(std::string_view Key) {
+  return RankKey(stableHash(Key));
+}
+
+RankScore MemberRanking::scoreOf(const MemberId &Id, RankKey Key) {
+  return RankScore(mixedScore(stableHash(Id.text()), Key.value()));
+}
+
 std::vector<MemberId> MemberRanking::first(HomeCount Count,
                                            std::string_view Key) const {
-  std::uint64_t KeyHash = stableHash(Key);
+  return first(Count, keyOf(Key));
+}
+
+std::vector<MemberId> MemberRanking::first(HomeCount Count, RankKey Key) const {
   std::vector<std::pair<std::uint64_t, const MemberId *>> Best;
   for (const auto &[Id, Hash] : Members_) {
-    std::uint64_t Score = scoreOf(Hash, KeyHash);
+    std::uint64_t Score = mixedScore(Hash, Key.value());
     if (Best.size() == Count.value()) {
       if (Best.empty() || Best.back().first >= Score)
         continue;
--- a/Libraries/LibMembership/ServiceHomes.h
+++ b/Libraries/LibMembership/ServiceHomes.h
@@ -14,6 +14,10 @@
 using HomeCount = Quantity<struct HomeCountTag, std::uint32_t>;
 /// Position of a member in a ranking; 0 is the first.
 using Rank = Quantity<struct RankTag, std::uint32_t>;
+/// Hash of what members are ranked for.
+using RankKey = Ordinal<struct RankKeyTag>;
+/// A member's weight for one key; the greatest is ranked first.
+using RankScore = Ordinal<struct RankScoreTag>;
 
 /// Members ordered per key by rendezvous hashing (Thaler and Ravishankar
 /// 1998): a member that joins or leaves moves only its own share of keys.
@@ -23,6 +27,10 @@
   void remove(const MemberId &Id);
   std::size_t size() const { return Members_.size(); }
 
+  static RankKey keyOf(std::string_view Key);
+  static RankScore scoreOf(const MemberId &Id, RankKey Key);
+
+  std::vector<MemberId> first(HomeCount Count, RankKey Key) const;
   /// The first `Count` members for the key.
   std::vector<MemberId> first(HomeCount Count, std::string_view Key) const;
   /// Place of the member among the first `Count`; none if it is not there.
--- /dev/null
+++ b/Tests/LibDirectory/TestInstanceDirectory.cpp
@@ -0,0 +1,198 @@
+#include <Support/CaseName.h>
+#include <Support/DirectoryFleet.h>
+
+namespace jaybridge {
+namespace {
+
+struct FleetCase {
+  const char *Name_;
+  std::size_t Count_;
+  LinkFaults Faults_;
+  std::uint64_t Seed_;
+};
+
+class InstanceDirectoryTest : public testing::TestWithParam<FleetCase> {
+protected:
+  static constexpr Duration Announcing = 10s;
+  static constexpr Duration LongestSilence =
+      LeaseTable::Term + LeaseTable::Grace + 5s;
+
+  InstanceDirectoryTest()
+      : Fleet_(GetParam().Count_, GetParam().Faults_,
+               RandomSeed(GetParam().Seed_)) {
+    Fleet_.Run_.runFor(3s);
+  }
+  std::size_t all() const { return GetParam().Count_; }
+  /// Announces through another member each time, as the balancer does.
+  void keepAnnouncing(const InstanceRecord &Record, Duration Span) {
+    for (Duration Passed{}; Passed < Span; Passed += Announcing) {
+      Fleet_.announce(Turn_++ % all(), Record);
+      Fleet_.Run_.runFor(Announcing);
+    }
+  }
+  std::size_t registrar(const InstanceId &Id) {
+    LeafRegistrars Seats;
+    for (std::size_t I = 0; I < all(); ++I)
+      Seats.add(memberNumber(I));
+    auto Chosen = Seats.registrarsOf(RecordTable::leafOf(keyOf(Id))).front();
+    return std::stoul(Chosen.text().substr(3));
+  }
+
+  DirectoryFleet Fleet_;
+  InstanceRecord Instance_ = instanceNumber(7);
+  std::size_t Turn_ = 0;
+};
+
+// Guards against gateways that send to an instance long after it began to
+// drain, also when they missed the first messages.
+TEST_P(InstanceDirectoryTest, DrainIsKnownEverywhereWithinTwoSeconds) {
+  Fleet_.announce(0, Instance_);
+  Fleet_.Run_.runFor(5s);
+  ASSERT_EQ(Fleet_.countKnowing(Instance_.Id_, InstanceState::Serving), all());
+  Instance_.State_ = InstanceState::Draining;
+  Fleet_.isolate(3);
+  Fleet_.announce(1, Instance_);
+  Fleet_.Run_.runFor(500ms);
+  Fleet_.Run_.healAll();
+  Fleet_.Run_.runFor(1500ms);
+  EXPECT_EQ(Fleet_.countKnowing(Instance_.Id_, InstanceState::Draining), all());
+}
+
+// Guards against leases of living instances that run out, and against
+// renewals that are flooded.
+TEST_P(InstanceDirectoryTest, AnnouncementsRenewTheLeaseAtTwoRegistrars) {
+  keepAnnouncing(Instance_, 5min);
+  EXPECT_EQ(Fleet_.Watch_.Lapses_, 0U);
+  EXPECT_EQ(Fleet_.countKnowing(Instance_.Id_, InstanceState::Serving), all());
+  EXPECT_LE(Fleet_.Watch_.RenewalMessages_, 2U * (5min / Announcing));
+}
+
+// Guards against a silent instance that stays in the directory.
+TEST_P(InstanceDirectoryTest, SilentInstanceLapsesEverywhere) {
+  keepAnnouncing(Instance_, 1min);
+  Fleet_.Run_.runFor(LongestSilence);
+  EXPECT_EQ(Fleet_.countKnowing(Instance_.Id_, InstanceState::Lapsed), all());
+}
+
+// Guards against a lapse that keeps out an instance that is alive.
+TEST_P(InstanceDirectoryTest, AnnouncementRevivesALapsedInstance) {
+  Fleet_.announce(0, Instance_);
+  Fleet_.Run_.runFor(LongestSilence);
+  ASSERT_EQ(Fleet_.countKnowing(Instance_.Id_, InstanceState::Lapsed), all());
+  Fleet_.announce(2, Instance_);
+  Fleet_.Run_.runFor(2s);
+  EXPECT_EQ(Fleet_.countKnowing(Instance_.Id_, InstanceState::Serving), all());
+  EXPECT_TRUE(Fleet_.Watch_.Answers_.back().IsAccepted_);
+}
+
+// Guards against a registrar that lapses instances because it alone was cut
+// off or stood still.
+TEST_P(InstanceDirectoryTest, RegistrarInTroubleLapsesNothing) {
+  keepAnnouncing(Instance_, 1min);
+  std::size_t Registrar = registrar(Instance_.Id_);
+  Fleet_.isolate(Registrar);
+  keepAnnouncing(Instance_, 2min);
+  Fleet_.Run_.healAll();
+  keepAnnouncing(Instance_, 1min);
+  Fleet_.Run_.freezeUntil(memberNumber(Registrar), Fleet_.Run_.now() + 60s);
+  Turn_ = Registrar + 1;
+  keepAnnouncing(Instance_, 2min);
+  EXPECT_EQ(Fleet_.Watch_.Lapses_, 0U);
+}
+
+// Guards against a gateway that trusts a directory that nobody confirmed, also
+// when answers waited for it while it stood still.
+TEST_P(InstanceDirectoryTest, LossOfConfirmationIsVisible) {
+  auto &Seen = Fleet_.Watch_.Confirmations_[memberNumber(3)];
+  ASSERT_EQ(Seen, std::vector<bool>{true});
+  Fleet_.isolate(3);
+  Fleet_.Run_.runFor(InstanceDirectory::ConfirmationTerm + 1ms);
+  EXPECT_EQ(Seen.size(), 2U);
+  Fleet_.Run_.healAll();
+  Fleet_.Run_.runFor(3s);
+  EXPECT_EQ(Seen, (std::vector<bool>{true, false, true}));
+  TimePoint Wakes = Fleet_.Run_.now() + 20s;
+  Fleet_.Run_.freezeUntil(memberNumber(3), Wakes);
+  Fleet_.Run_.runFor(20s + Duration(2));
+  EXPECT_EQ(Seen, (std::vector<bool>{true, false, true, false}));
+}
+
+// Guards against directories that stay different after a long absence, and
+// against a restarted daemon without records.
+TEST_P(InstanceDirectoryTest, AbsentAndRestartedDaemonsCatchUp) {
+  Fleet_.isolate(3);
+  for (std::size_t I = 0; I < 300; ++I)
+    Fleet_.announce(I % 2, instanceNumber(I));
+  Fleet_.announce(3, instanceNumber(300));
+  Fleet_.Run_.runFor(15s);
+  Fleet_.Run_.healAll();
+  Fleet_.start(4, 2);
+  Fleet_.Run_.runFor(15s);
+  for (const MemberId &Id : Fleet_.Run_.members()) {
+    EXPECT_EQ(Fleet_.Run_.role(Id).records().size(), 301U) << Id.text();
+    EXPECT_TRUE(Fleet_.Run_.role(Id).isConfirmed()) << Id.text();
+  }
+}
+
+// Guards against load reports that reach daemons which do not need them.
+TEST_P(InstanceDirectoryTest, LoadReachesHomesOnly) {
+  Fleet_.Run_.give(
+      memberNumber(0),
+      LoadAnnounced{{Instance_.Id_, Instance_.Service_, SlotCount(2)}});
+  Fleet_.Run_.runFor(1s);
+  EXPECT_LE(Fleet_.Watch_.LoadsLearned_.size(), 3U);
+}
+
+constexpr LinkFaults Clean{};
+constexpr LinkFaults Lossy{Percentage(5), Percentage(5), 1ms, 20ms};
+
+INSTANTIATE_TEST_SUITE_P(Fleets, InstanceDirectoryTest,
+                         testing::Values(FleetCase{"FiveClean", 5, Clean, 1},
+                                         FleetCase{"AgencyClean", 46, Clean, 2},
+                                         FleetCase{"AgencyLossy", 46, Lossy,
+                                                   4}),
+                         CaseName());
+
+struct OrderCase {
+  const char *Name_;
+  InstanceState First_;
+  std::uint64_t FirstVersion_;
+  InstanceState Second_;
+  std::uint64_t SecondVersion_;
+  bool IsAccepted_;
+  InstanceState InForce_;
+};
+
+class AnnouncementOrderTest : public testing::TestWithParam<OrderCase> {};
+
+// Guards against an outdated announcement that takes back a newer one.
+TEST_P(AnnouncementOrderTest, NewerVersionThenGreaterStateWins) {
+  const OrderCase &Case = GetParam();
+  DirectoryFleet Fleet(1, LinkFaults{}, RandomSeed(1));
+  InstanceRecord Record = instanceNumber(1, Case.FirstVersion_);
+  Record.State_ = Case.First_;
+  Fleet.announce(0, Record);
+  Record.State_ = Case.Second_;
+  Record.Version_ = Incarnation(Case.SecondVersion_);
+  Fleet.announce(0, Record);
+  EXPECT_EQ(Fleet.Watch_.Answers_.back().IsAccepted_, Case.IsAccepted_);
+  EXPECT_EQ(Fleet.countKnowing(Record.Id_, Case.InForce_), 1U);
+}
+
+constexpr auto Serving = InstanceState::Serving;
+constexpr auto Draining = InstanceState::Draining;
+constexpr auto Left = InstanceState::Left;
+
+INSTANTIATE_TEST_SUITE_P(
+    Orders, AnnouncementOrderTest,
+    testing::Values(
+        OrderCase{"Repeated", Serving, 1, Serving, 1, true, Serving},
+        OrderCase{"Drains", Serving, 1, Draining, 1, true, Draining},
+        OrderCase{"DrainIsNotUndone", Draining, 1, Serving, 1, false, Draining},
+        OrderCase{"Leaves", Draining, 2, Left, 2, true, Left},
+        OrderCase{"OldRunAfterLeave", Left, 2, Serving, 1, false, Left},
+        OrderCase{"NewRunAfterLeave", Left, 2, Serving, 3, true, Serving}),
+    CaseName());
+
+} // namespace
+} // namespace jaybridge
