LibDirectory: Spread the committed configuration to every daemon

A committed change has to be in force on every daemon within 5 s, without one VM that connects to all.

--- /dev/null
+++ b/Libraries/LibDirectory/ConfigurationSpread.cpp
@@ -0,0 +1,339 @@
+#include <LibDirectory/ConfigurationSpread.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+
+namespace jaybridge {
+
+Result<ConfigurationSpread> ConfigurationSpread::create(SpreadDraft Draft) {
+  if (Draft.Self_.isEmpty())
+    return Error{ErrorCode::Invalid, "a member needs an id", "member-id"};
+  return ConfigurationSpread(std::move(Draft));
+}
+
+ConfigurationSpread::ConfigurationSpread(SpreadDraft Draft)
+    : Self_(std::move(Draft.Self_)), Domain_(std::move(Draft.Domain_)),
+      Numbers_(Draft.Seed_) {}
+
+void ConfigurationSpread::handle(const Event &Happened, TimePoint Now,
+                                 Effects &Out) {
+  advance(Now, Out);
+  std::visit(Overloaded{[&](const FromMember<SpreadMessage> &Got) {
+                          auto Receive = [&](const auto &Each) {
+                            receive(Got.From_, Each, Now, Out);
+                          };
+                          std::visit(Receive, Got.Message_);
+                        },
+                        [&](const EntryCommitted &Each) {
+                          if (Each.Version_ != InForce_.next())
+                            return;
+                          commit(Each.Version_, Each.Entry_, Out);
+                          tellSome(Out);
+                        },
+                        [&](const SnapshotTaken &Each) {
+                          if (Each.Version_ > InForce_) {
+                            install(Each.Version_, Each.Snapshot_, Out);
+                            tellSome(Out);
+                            return;
+                          }
+                          if (Each.Version_ > SnapshotVersion_)
+                            keepSnapshot(Each.Version_, Each.Snapshot_);
+                        },
+                        [&](const MemberChanged &Each) {
+                          changeMember(Each.Record_, Now);
+                        }},
+             Happened);
+}
+
+void ConfigurationSpread::advance(TimePoint Now, Effects &Out) {
+  if (!HasStarted_) {
+    HasStarted_ = true;
+    NextGossipAt_ = Now + Duration(Numbers_.below(GossipPeriod.count()));
+  }
+  if (FetchUntil_ && Now >= *FetchUntil_) {
+    FetchUntil_.reset();
+    if (Download_ && Numbers_.below(2) == 0)
+      Download_.reset();
+  }
+  if (Now < NextGossipAt_)
+    return;
+  NextGossipAt_ = Now + (IsCurrent_ ? GossipPeriod : GossipPeriod / 4);
+  if (auto To = nextPeer())
+    gossipTo(*To, true, Out);
+}
+
+std::optional<TimePoint> ConfigurationSpread::nextDeadline() const {
+  if (!HasStarted_)
+    return TimePoint{};
+  return FetchUntil_ ? std::min(NextGossipAt_, *FetchUntil_) : NextGossipAt_;
+}
+
+std::vector<VersionInForce> ConfigurationSpread::versions() const {
+  std::vector<VersionInForce> Versions{{Self_, InForce_}};
+  for (const auto &[Id, Each] : Peers_)
+    Versions.push_back({Id, Each.Version_});
+  return Versions;
+}
+
+void ConfigurationSpread::receive(const MemberId &From,
+                                  const VersionGossip &Got, TimePoint Now,
+                                  Effects &Out) {
+  hear({From, Got.InForce_});
+  for (const VersionInForce &Each : Got.Heard_)
+    hear(Each);
+  if (auto Known = Peers_.find(From);
+      Known != Peers_.end() && !Got.IsAnswerWanted_)
+    Known->second.HasAnswered_ = true;
+  if (Got.IsAnswerWanted_)
+    gossipTo(From, false, Out);
+  if (Got.InForce_ > InForce_)
+    fetch(From, Now, Out);
+  checkCurrent(Out);
+}
+
+void ConfigurationSpread::receive(const MemberId &From,
+                                  const EntriesWanted &Got, TimePoint,
+                                  Effects &Out) {
+  if (Got.After_ >= InForce_)
+    return;
+  if (Got.After_ < entriesStart()) {
+    receive(From, SnapshotWanted{SnapshotVersion_, SnapshotHash_, {}}, {}, Out);
+    return;
+  }
+  EntriesPart Part{Got.After_, {}};
+  std::size_t Bytes = 0;
+  for (std::size_t I = Got.After_.value() - entriesStart().value();
+       I < Entries_.size() && Part.Entries_.size() < EntriesPerPart &&
+       Bytes < BytesPerPart;
+       ++I) {
+    Bytes += Entries_[I].text().size();
+    Part.Entries_.push_back(Entries_[I]);
+  }
+  send(From, std::move(Part), Out);
+}
+
+void ConfigurationSpread::receive(const MemberId &From, const EntriesPart &Got,
+                                  TimePoint Now, Effects &Out) {
+  ConfigurationVersion Before = InForce_;
+  ConfigurationVersion Next = Got.After_;
+  for (const ConfigurationBytes &Each : Got.Entries_) {
+    Next = Next.next();
+    if (Next == InForce_.next())
+      commit(Next, Each, Out);
+  }
+  if (InForce_ == Before)
+    return;
+  FetchUntil_.reset();
+  hear({From, InForce_});
+  auto Known = Peers_.find(From);
+  if (Known != Peers_.end() && Known->second.Version_ > InForce_)
+    fetch(From, Now, Out);
+  else
+    tellSome(Out);
+  checkCurrent(Out);
+}
+
+void ConfigurationSpread::receive(const MemberId &From,
+                                  const SnapshotWanted &Got, TimePoint,
+                                  Effects &Out) {
+  if (SnapshotVersion_ == ConfigurationVersion())
+    return;
+  bool IsSame = Got.Version_ == SnapshotVersion_ && Got.Hash_ == SnapshotHash_;
+  const std::string &Whole = Snapshot_.text();
+  std::size_t Offset = IsSame ? Got.Offset_.value() : 0;
+  if (Offset > Whole.size())
+    return;
+  send(From,
+       SnapshotPart{SnapshotVersion_, SnapshotHash_, ByteCount(Offset),
+                    ByteCount(Whole.size()),
+                    ConfigurationBytes(Whole.substr(Offset, BytesPerPart))},
+       Out);
+}
+
+void ConfigurationSpread::receive(const MemberId &From, const SnapshotPart &Got,
+                                  TimePoint Now, Effects &Out) {
+  if (Got.Version_ <= InForce_ || Got.Size_.value() > GreatestSnapshot)
+    return;
+  bool IsSame = Download_ && Download_->Version_ == Got.Version_ &&
+                Download_->Hash_ == Got.Hash_;
+  if (!IsSame) {
+    if (Got.Offset_ != ByteCount())
+      return;
+    Download_ = Download{From, Got.Version_, Got.Hash_, {}};
+  }
+  if (Got.Offset_.value() != Download_->Bytes_.size())
+    return;
+  Download_->From_ = From;
+  Download_->Bytes_ += Got.Bytes_.text();
+  if (Download_->Bytes_.size() < Got.Size_.value()) {
+    FetchUntil_.reset();
+    fetch(From, Now, Out);
+    return;
+  }
+  Download Done = std::move(*Download_);
+  Download_.reset();
+  FetchUntil_.reset();
+  if (SnapshotHash(stableHash(Done.Bytes_)) != Done.Hash_)
+    return;
+  install(Done.Version_, ConfigurationBytes(std::move(Done.Bytes_)), Out);
+  if (auto Known = Peers_.find(From);
+      Known != Peers_.end() && Known->second.Version_ > InForce_)
+    fetch(From, Now, Out);
+  tellSome(Out);
+  checkCurrent(Out);
+}
+
+void ConfigurationSpread::commit(ConfigurationVersion Version,
+                                 const ConfigurationBytes &Entry,
+                                 Effects &Out) {
+  InForce_ = Version;
+  Entries_.push_back(Entry);
+  EntryBytes_ += Entry.text().size();
+  Out.emplace_back(EntryInForce{Version, Entry});
+  bool IsMuch = Entries_.size() > GreatestEntries / 2 ||
+                EntryBytes_ > GreatestEntryBytes / 2;
+  if (IsMuch && !IsSnapshotAsked_) {
+    IsSnapshotAsked_ = true;
+    Out.emplace_back(SnapshotNeeded{});
+  }
+  // A daemon that gives no snapshot still stays within its bound; peers that
+  // are further behind ask another member.
+  while (Entries_.size() > GreatestEntries ||
+         EntryBytes_ > GreatestEntryBytes) {
+    EntryBytes_ -= Entries_.front().text().size();
+    Entries_.pop_front();
+  }
+}
+
+void ConfigurationSpread::install(ConfigurationVersion Version,
+                                  const ConfigurationBytes &Snapshot,
+                                  Effects &Out) {
+  InForce_ = Version;
+  Entries_.clear();
+  EntryBytes_ = 0;
+  keepSnapshot(Version, Snapshot);
+  Out.emplace_back(SnapshotInForce{Version, Snapshot});
+}
+
+// Half of the entries stay, so that members that are a little behind need no
+// snapshot.
+void ConfigurationSpread::keepSnapshot(ConfigurationVersion Version,
+                                       const ConfigurationBytes &Snapshot) {
+  SnapshotVersion_ = Version;
+  Snapshot_ = Snapshot;
+  SnapshotHash_ = SnapshotHash(stableHash(Snapshot.text()));
+  IsSnapshotAsked_ = false;
+  while (entriesStart() < Version && (Entries_.size() > GreatestEntries / 4 ||
+                                      EntryBytes_ > GreatestEntryBytes / 4)) {
+    EntryBytes_ -= Entries_.front().text().size();
+    Entries_.pop_front();
+  }
+}
+
+void ConfigurationSpread::changeMember(const MemberRecord &Record,
+                                       TimePoint Now) {
+  if (Record.Id_ == Self_)
+    return;
+  bool IsKnown = Peers_.contains(Record.Id_);
+  if (isLive(Record.State_) == IsKnown)
+    return;
+  if (!IsKnown) {
+    Peers_.emplace(Record.Id_, Peer{Record.Domain_, {}, false});
+    Order_.push_back(Record.Id_);
+    if (!IsCurrent_)
+      NextGossipAt_ = Now;
+    return;
+  }
+  Peers_.erase(Record.Id_);
+  std::erase(Order_, Record.Id_);
+}
+
+void ConfigurationSpread::hear(const VersionInForce &Heard) {
+  auto Known = Peers_.find(Heard.Member_);
+  if (Known != Peers_.end())
+    Known->second.Version_ = std::max(Known->second.Version_, Heard.Version_);
+}
+
+void ConfigurationSpread::gossipTo(const MemberId &To, bool IsAnswerWanted,
+                                   Effects &Out) {
+  VersionGossip Gossip{InForce_, IsAnswerWanted, {}};
+  for (std::size_t I = 0; I < HeardPerGossip && !Order_.empty(); ++I) {
+    const MemberId &Id = Order_[Numbers_.below(Order_.size())];
+    ConfigurationVersion Version = Peers_.at(Id).Version_;
+    if (Id != To && Version > ConfigurationVersion())
+      Gossip.Heard_.push_back({Id, Version});
+  }
+  send(To, std::move(Gossip), Out);
+}
+
+void ConfigurationSpread::tellSome(Effects &Out) {
+  std::set<MemberId> Chosen;
+  for (std::size_t I = 0; I < FanOut && !Order_.empty(); ++I)
+    Chosen.insert(Order_[Numbers_.below(Order_.size())]);
+  for (const MemberId &Each : Chosen)
+    if (Peers_.at(Each).Version_ < InForce_)
+      gossipTo(Each, false, Out);
+}
+
+void ConfigurationSpread::fetch(const MemberId &From, TimePoint Now,
+                                Effects &Out) {
+  if (FetchUntil_)
+    return;
+  FetchUntil_ = Now + FetchTimeout;
+  if (Download_)
+    send(From,
+         SnapshotWanted{Download_->Version_, Download_->Hash_,
+                        ByteCount(Download_->Bytes_.size())},
+         Out);
+  else
+    send(From, EntriesWanted{InForce_}, Out);
+}
+
+void ConfigurationSpread::checkCurrent(Effects &Out) {
+  if (IsCurrent_)
+    return;
+  std::set<FailureDomain> All;
+  std::set<FailureDomain> Answered;
+  for (const auto &[Id, Each] : Peers_) {
+    All.insert(Each.Domain_);
+    if (Each.HasAnswered_)
+      Answered.insert(Each.Domain_);
+    if (Each.Version_ > InForce_)
+      return;
+  }
+  if (Answered.empty() ||
+      Answered.size() < std::min(DomainsForCurrent, All.size()))
+    return;
+  IsCurrent_ = true;
+  Out.emplace_back(ConfigurationIsCurrent{InForce_});
+}
+
+std::optional<MemberId> ConfigurationSpread::nextPeer() {
+  if (Order_.empty())
+    return std::nullopt;
+  std::size_t First = Numbers_.below(Order_.size());
+  if (IsCurrent_)
+    return Order_[First];
+  std::set<FailureDomain> Answered;
+  for (const auto &[Id, Each] : Peers_)
+    if (Each.HasAnswered_)
+      Answered.insert(Each.Domain_);
+  for (std::size_t I = 0; I < Order_.size(); ++I) {
+    const MemberId &Id = Order_[(First + I) % Order_.size()];
+    if (!Answered.contains(Peers_.at(Id).Domain_))
+      return Id;
+  }
+  return Order_[First];
+}
+
+ConfigurationVersion ConfigurationSpread::entriesStart() const {
+  return ConfigurationVersion(InForce_.value() - Entries_.size());
+}
+
+void ConfigurationSpread::send(const MemberId &To, SpreadMessage Message,
+                               Effects &Out) const {
+  Out.emplace_back(SendToMember<SpreadMessage>{To, std::move(Message)});
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibDirectory/ConfigurationSpread.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <LibCore/DecisionRole.h>
+#include <LibCore/Random.h>
+#include <LibCore/Result.h>
+#include <LibDirectory/SpreadMessages.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace jaybridge {
+
+struct SpreadDraft {
+  MemberId Self_;
+  FailureDomain Domain_;
+  RandomSeed Seed_;
+};
+
+/// Brings each committed configuration to every daemon. A daemon that learns
+/// of a newer version fetches it from the member that told it and then tells
+/// a few others; periodic gossip reaches the rest. Versions only rise.
+class ConfigurationSpread {
+public:
+  using Event = std::variant<FromMember<SpreadMessage>, EntryCommitted,
+                             SnapshotTaken, MemberChanged>;
+  using Effect =
+      std::variant<SendToMember<SpreadMessage>, EntryInForce, SnapshotInForce,
+                   SnapshotNeeded, ConfigurationIsCurrent>;
+
+  static constexpr Duration GossipPeriod = 1s;
+  /// Members told at once of a new version.
+  static constexpr std::size_t FanOut = 4;
+  static constexpr Duration FetchTimeout = 500ms;
+  static constexpr std::size_t EntriesPerPart = 32;
+  static constexpr std::size_t BytesPerPart = 32'768;
+  /// A snapshot is asked for when this much is held beyond the last one.
+  static constexpr std::size_t GreatestEntries = 1024;
+  static constexpr std::size_t GreatestEntryBytes = 4'194'304;
+  static constexpr std::size_t GreatestSnapshot = 67'108'864;
+  /// Versions of other members in one gossip message.
+  static constexpr std::size_t HeardPerGossip = 4;
+  /// Failure domains that must answer before a restarted daemon is current.
+  static constexpr std::size_t DomainsForCurrent = 2;
+
+  static Result<ConfigurationSpread> create(SpreadDraft Draft);
+
+  void handle(const Event &Happened, TimePoint Now,
+              std::vector<Effect> &Effects);
+  void advance(TimePoint Now, std::vector<Effect> &Effects);
+  std::optional<TimePoint> nextDeadline() const;
+
+  ConfigurationVersion inForce() const { return InForce_; }
+  bool isCurrent() const { return IsCurrent_; }
+  /// Versions at live members for a status command, as old as gossip takes: at
+  /// two messages a second, a fleet of 46 is covered in about 20 s. A restarted
+  /// member is shown with its earlier version until it has caught up.
+  std::vector<VersionInForce> versions() const;
+
+private:
+  using Effects = std::vector<Effect>;
+  struct Peer {
+    FailureDomain Domain_;
+    ConfigurationVersion Version_;
+    bool HasAnswered_ = false;
+  };
+  struct Download {
+    MemberId From_;
+    ConfigurationVersion Version_;
+    SnapshotHash Hash_;
+    std::string Bytes_;
+  };
+
+  explicit ConfigurationSpread(SpreadDraft Draft);
+
+  void receive(const MemberId &From, const VersionGossip &Got, TimePoint Now,
+               Effects &Out);
+  void receive(const MemberId &From, const EntriesWanted &Got, TimePoint Now,
+               Effects &Out);
+  void receive(const MemberId &From, const EntriesPart &Got, TimePoint Now,
+               Effects &Out);
+  void receive(const MemberId &From, const SnapshotWanted &Got, TimePoint Now,
+               Effects &Out);
+  void receive(const MemberId &From, const SnapshotPart &Got, TimePoint Now,
+               Effects &Out);
+  void commit(ConfigurationVersion Version, const ConfigurationBytes &Entry,
+              Effects &Out);
+  void install(ConfigurationVersion Version, const ConfigurationBytes &Snapshot,
+               Effects &Out);
+  void keepSnapshot(ConfigurationVersion Version,
+                    const ConfigurationBytes &Snapshot);
+  void changeMember(const MemberRecord &Record, TimePoint Now);
+  void hear(const VersionInForce &Heard);
+  void gossipTo(const MemberId &To, bool IsAnswerWanted, Effects &Out);
+  void tellSome(Effects &Out);
+  void fetch(const MemberId &From, TimePoint Now, Effects &Out);
+  void checkCurrent(Effects &Out);
+  /// A random member, from a domain that has not answered yet if there is one.
+  std::optional<MemberId> nextPeer();
+  ConfigurationVersion entriesStart() const;
+  void send(const MemberId &To, SpreadMessage Message, Effects &Out) const;
+
+  MemberId Self_;
+  FailureDomain Domain_;
+  Random Numbers_;
+  std::map<MemberId, Peer> Peers_;
+  std::vector<MemberId> Order_;
+  ConfigurationVersion InForce_;
+  std::deque<ConfigurationBytes> Entries_;
+  std::size_t EntryBytes_ = 0;
+  bool IsSnapshotAsked_ = false;
+  ConfigurationVersion SnapshotVersion_;
+  ConfigurationBytes Snapshot_;
+  SnapshotHash SnapshotHash_;
+  std::optional<TimePoint> FetchUntil_;
+  std::optional<Download> Download_;
+  bool IsCurrent_ = false;
+  TimePoint NextGossipAt_;
+  bool HasStarted_ = false;
+};
+
+static_assert(DecisionRole<ConfigurationSpread>);
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibDirectory/SpreadMessages.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <LibCore/PeerMessage.h>
+#include <LibCore/Units.h>
+#include <LibMembership/MembershipMessages.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jaybridge {
+
+/// One committed change or a whole catalog, encoded elsewhere.
+using ConfigurationBytes = Identifier<struct ConfigurationBytesTag>;
+/// Tells snapshots of one version apart.
+using SnapshotHash = Ordinal<struct SnapshotHashTag>;
+
+/// Which version is in force at a member, as far as is known.
+struct VersionInForce {
+  MemberId Member_;
+  ConfigurationVersion Version_;
+};
+
+/// States the version in force here, and what was lately heard of others.
+struct VersionGossip {
+  ConfigurationVersion InForce_;
+  bool IsAnswerWanted_ = false;
+  std::vector<VersionInForce> Heard_;
+};
+
+/// Asks for the changes that follow a version.
+struct EntriesWanted {
+  ConfigurationVersion After_;
+};
+struct EntriesPart {
+  ConfigurationVersion After_;
+  std::vector<ConfigurationBytes> Entries_;
+};
+
+/// Asks for more of a snapshot.
+struct SnapshotWanted {
+  ConfigurationVersion Version_;
+  SnapshotHash Hash_;
+  ByteCount Offset_;
+};
+/// Sent instead of entries that are no longer held.
+struct SnapshotPart {
+  ConfigurationVersion Version_;
+  SnapshotHash Hash_;
+  ByteCount Offset_;
+  ByteCount Size_;
+  ConfigurationBytes Bytes_;
+};
+
+using SpreadMessage = std::variant<VersionGossip, EntriesWanted, EntriesPart,
+                                   SnapshotWanted, SnapshotPart>;
+
+// Events from this daemon.
+
+/// The replicated log committed a change; only on control members.
+struct EntryCommitted {
+  ConfigurationVersion Version_;
+  ConfigurationBytes Entry_;
+};
+/// The whole catalog at a version, in answer to SnapshotNeeded or installed
+/// by the replicated log.
+struct SnapshotTaken {
+  ConfigurationVersion Version_;
+  ConfigurationBytes Snapshot_;
+};
+
+// Effects for this daemon.
+
+/// The next change takes effect; versions are without gaps.
+struct EntryInForce {
+  ConfigurationVersion Version_;
+  ConfigurationBytes Entry_;
+};
+/// A whole catalog takes effect.
+struct SnapshotInForce {
+  ConfigurationVersion Version_;
+  ConfigurationBytes Snapshot_;
+};
+/// The held changes have grown; the daemon shall give a snapshot.
+struct SnapshotNeeded {};
+/// Peers in several failure domains have no newer version. Given once.
+struct ConfigurationIsCurrent {
+  ConfigurationVersion Version_;
+};
+
+} // namespace jaybridge
