--- /dev/null
+++ b/Libraries/LibWire/Envelope.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+#include <cstdint>
+#include <string>
+
+namespace jaybridge {
+
+/// Which codec reads a payload. The numbers are part of the protocol.
+enum class MessageKind : std::uint8_t {
+  Replication = 1,
+  Membership = 2,
+  Directory = 3,
+  Spread = 4,
+  Lease = 5,
+  Evidence = 6,
+  Ledger = 7,
+  Forward = 8,
+  Trace = 9,
+};
+
+constexpr bool isMessageKind(std::uint8_t Number) {
+  return Number >= static_cast<std::uint8_t>(MessageKind::Replication) &&
+         Number <= static_cast<std::uint8_t>(MessageKind::Trace);
+}
+
+/// A message between daemons as the transport carries it.
+struct Envelope {
+  MessageKind Kind_ = MessageKind::Membership;
+  MemberId Sender_;
+  std::string Payload_;
+};
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibWire/WireBytes.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <cstring>
+#include <string>
+#include <string_view>
+
+// Included by codec .cpp files only.
+
+namespace jaybridge::wire {
+
+inline capnp::Data::Reader bytesOf(std::string_view Text) {
+  return {reinterpret_cast<const capnp::byte *>(Text.data()), Text.size()};
+}
+
+inline std::string textOf(capnp::Data::Reader Bytes) {
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+inline std::string textOf(capnp::Text::Reader Text) {
+  return {Text.begin(), Text.size()};
+}
+
+inline std::string payloadOf(capnp::MessageBuilder &Message) {
+  const kj::Array<capnp::word> Words = capnp::messageToFlatArray(Message);
+  const auto Bytes = Words.asBytes();
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+/// Copies a payload to where Cap'n Proto may read it: aligned to words.
+inline kj::Array<capnp::word> wordsOf(std::string_view Payload) {
+  auto Words = kj::heapArray<capnp::word>(Payload.size() / sizeof(capnp::word));
+  if (Words.size() > 0)
+    std::memcpy(Words.begin(), Payload.data(),
+                Words.size() * sizeof(capnp::word));
+  return Words;
+}
+
+} // namespace jaybridge::wire
