--- a/Libraries/LibControl/ConfigurationMessages.h
+++ b/Libraries/LibControl/ConfigurationMessages.h
@@ -85,9 +85,9 @@
 
 /// Turns changes and catalogs into the log's opaque payloads and back.
 template <typename Codec>
-concept ConfigurationCodec = requires(const ConfigurationChange &Change,
-                                      const ConfigurationSnapshot &Snapshot,
-                                      const std::string &Text) {
+concept ConfigurationEncoding = requires(const ConfigurationChange &Change,
+                                         const ConfigurationSnapshot &Snapshot,
+                                         const std::string &Text) {
   requires std::same_as<decltype(Codec::encode(Change)), std::string>;
   requires std::same_as<decltype(Codec::encode(Snapshot)), std::string>;
   requires std::same_as<decltype(Codec::decodeChange(Text)),
--- a/Libraries/LibControl/ConfigurationService.h
+++ b/Libraries/LibControl/ConfigurationService.h
@@ -9,7 +9,7 @@
 /// A daemon's part in the configuration: it passes operators' changes to the
 /// control members and, on one of these, applies the replicated log to the
 /// catalog.
-template <ConfigurationCodec Codec> class ConfigurationService {
+template <ConfigurationEncoding Codec> class ConfigurationService {
 public:
   using Event = ConfigurationEvent;
   using Effect = ConfigurationEffect;
--- a/Libraries/LibDirectory/ConfigurationSpread.cpp
+++ b/Libraries/LibDirectory/ConfigurationSpread.cpp
@@ -31,7 +31,7 @@
                           commit(Each.Version_, Each.Entry_, Out);
                           tellSome(Out);
                         },
-                        [&](const SnapshotTaken &Each) {
+                        [&](const SnapshotProvided &Each) {
                           if (Each.Version_ > InForce_) {
                             install(Each.Version_, Each.Snapshot_, Out);
                             tellSome(Out);
--- a/Libraries/LibDirectory/ConfigurationSpread.h
+++ b/Libraries/LibDirectory/ConfigurationSpread.h
@@ -23,7 +23,7 @@
 class ConfigurationSpread {
 public:
   using Event = std::variant<FromMember<SpreadMessage>, EntryCommitted,
-                             SnapshotTaken, MemberChanged>;
+                             SnapshotProvided, MemberChanged>;
   using Effect =
       std::variant<SendToMember<SpreadMessage>, EntryInForce, SnapshotInForce,
                    SnapshotNeeded, ConfigurationIsCurrent>;
--- a/Libraries/LibDirectory/SpreadMessages.h
+++ b/Libraries/LibDirectory/SpreadMessages.h
@@ -64,7 +64,7 @@
 };
 /// The whole catalog at a version, in answer to SnapshotNeeded or installed
 /// by the replicated log.
-struct SnapshotTaken {
+struct SnapshotProvided {
   ConfigurationVersion Version_;
   ConfigurationBytes Snapshot_;
 };
--- a/Libraries/LibWire/Envelope.h
+++ b/Libraries/LibWire/Envelope.h
@@ -18,11 +18,12 @@
   Ledger = 7,
   Forward = 8,
   Trace = 9,
+  Configuration = 10,
 };
 
 constexpr bool isMessageKind(std::uint8_t Number) {
   return Number >= static_cast<std::uint8_t>(MessageKind::Replication) &&
-         Number <= static_cast<std::uint8_t>(MessageKind::Trace);
+         Number <= static_cast<std::uint8_t>(MessageKind::Configuration);
 }
 
 /// A message between daemons as the transport carries it.
--- a/Tests/Support/SpreadFleet.h
+++ b/Tests/Support/SpreadFleet.h
@@ -31,8 +31,8 @@
               Raise(Each.Version_, true);
             },
             [&](const SnapshotNeeded &) {
-              Run.give(From, SnapshotTaken{InForce_[From],
-                                           snapshotAt(InForce_[From])});
+              Run.give(From, SnapshotProvided{InForce_[From],
+                                              snapshotAt(InForce_[From])});
             },
             [&](const ConfigurationIsCurrent &) { Current_.insert(From); }},
         Given);
