LibUpstream: Believe reported load for two service times only

Cause: in front of one pool, 46 independent gateways failed 2 to 3% of requests at 70% load. All of them believed the same statement about load for 1 s, 40 service times, and herded to the same instances. Change: a statement counts for two mean service times, at most 1 s.

--- a/Libraries/LibUpstream/UpstreamInstance.cpp
+++ b/Libraries/LibUpstream/UpstreamInstance.cpp
@@ -15,6 +15,11 @@
 constexpr Duration HalfLife = 2s;
 /// A failing instance looks up to this many times as loaded.
 constexpr double FailurePenalty = 8;
+/// After this many service times the slots hold other requests. A hint believed
+/// for 1 s made 46 gateways herd: 2 to 3% of requests failed at 70% load
+/// against 0.5% with this bound.
+constexpr int HintServices = 2;
+constexpr Duration LeastHintLifetime = 10ms;
 constexpr double GreatestSlowness = 10;
 /// Means of few samples differ by chance, and a remainder of old failures must
 /// not decide between idle instances: below these both count as none.
@@ -152,10 +157,12 @@
 
 SelectionCost UpstreamInstance::cost(Duration PoolMean, TimePoint Now) const {
   double Load = InUse_.value() + 1;
-  if (Duration Age = Now - LoadReportedAt_; Age < LoadHintLifetime)
-    Load += UsedByOthers_.value() *
-            (1 - static_cast<double>(Age.count()) /
-                     static_cast<double>(LoadHintLifetime.count()));
+  Duration Lifetime = std::min(
+      LoadHintLifetime, std::max(LeastHintLifetime, PoolMean * HintServices));
+  if (Duration Age = Now - LoadReportedAt_; Age < Lifetime)
+    Load +=
+        UsedByOthers_.value() * (1 - static_cast<double>(Age.count()) /
+                                         static_cast<double>(Lifetime.count()));
   double Slowness = 1;
   if (Latency_.isMeaningful() && Latency_.mean() > PoolMean &&
       PoolMean > Duration::zero()) {
