LibRouting: Keep the reserve of the retry budget for retries

Cause: hedges used up the budget, so that requests that an instance had shed were refused: 0.2 to 0.7% with 46 independent gateways. Change: a hedge is sent only while more than the reserve is left.

--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -150,7 +150,8 @@
   }
   ServiceRouter &Router = Requests_.service(Forwarded->request().Service_);
   Router.loseHome(Forwarded->home(), Now);
-  if (MayHaveRun && !(Forwarded->isRepeatable() && Router.budget().withdraw()))
+  if (MayHaveRun &&
+      !(Forwarded->isRepeatable() && Router.budget().withdrawRetry()))
     return Requests_.refuse(*Forwarded, RefusalReason::HomeLost, Now, Out);
   if (!forward(*Forwarded, Now, Out))
     serveHere(*Forwarded, Now, Out);
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -273,7 +273,7 @@
     return;
   bool IsInTime = Now < Running.deadline();
   if (IsInTime && Running.canDispatch() &&
-      service(Running.request().Service_).budget().withdraw()) {
+      service(Running.request().Service_).budget().withdrawRetry()) {
     recordStep(Running, StepKind::Retried, resultName(Ended.Result_), Out);
     return place(Running, Now, Out);
   }
@@ -347,7 +347,7 @@
   SelectionRequest Wanted{Slow->triedInstances()};
   std::optional<InstanceId> Chosen =
       Router.pool().select(Choices_, Wanted, Now);
-  if (Chosen && Router.budget().withdraw())
+  if (Chosen && Router.budget().withdrawHedge())
     dispatch(*Slow, *Chosen, DispatchKind::Hedge, Now, Out);
 }
 
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -24,9 +24,13 @@
       std::min(inHundredths(Greatest), Balance_ + EventCount(Share_.value()));
 }
 
-bool RetryBudget::withdraw() {
+bool RetryBudget::withdrawRetry() { return withdraw(EventCount(0)); }
+
+bool RetryBudget::withdrawHedge() { return withdraw(inHundredths(Reserve)); }
+
+bool RetryBudget::withdraw(EventCount Kept) {
   constexpr EventCount Price(HundredthsPerRetry);
-  if (Share_ == Percentage(0) || Balance_ < Price)
+  if (Share_ == Percentage(0) || Balance_ < Kept + Price)
     return false;
   Balance_ -= Price;
   return true;
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -20,9 +20,14 @@
   void setShare(Percentage Share);
   void depositFirstAttempt();
   /// Takes one retry; false when none is left.
-  bool withdraw();
+  bool withdrawRetry();
+  /// Takes one hedge; false when only the reserve is left. A hedge saves time,
+  /// a retry saves the request, so hedges must not use up the retries.
+  bool withdrawHedge();
 
 private:
+  bool withdraw(EventCount Kept);
+
   Percentage Share_;
   /// In hundredths of a retry.
   EventCount Balance_;
--- /dev/null
+++ b/Tests/LibRouting/TestRetryBudget.cpp
@@ -0,0 +1,44 @@
+#include <LibRouting/RetryBudget.h>
+#include <Support/CaseName.h>
+
+#include <gtest/gtest.h>
+
+namespace jaybridge {
+namespace {
+
+struct BudgetCase {
+  const char *Name_;
+  Percentage Share_;
+  int FirstAttempts_;
+  int Hedges_;
+  int Retries_;
+};
+
+class RetryBudgetTest : public testing::TestWithParam<BudgetCase> {};
+
+// Guards against more retries than the share permits, and against hedges that
+// leave none for requests that failed.
+TEST_P(RetryBudgetTest, PermitsTheShareAndKeepsTheReserveForRetries) {
+  RetryBudget Budget(GetParam().Share_);
+  for (int Number = 0; Number < GetParam().FirstAttempts_; ++Number)
+    Budget.depositFirstAttempt();
+  int Hedges = 0;
+  while (Budget.withdrawHedge())
+    ++Hedges;
+  int Retries = 0;
+  while (Budget.withdrawRetry())
+    ++Retries;
+  EXPECT_EQ(Hedges, GetParam().Hedges_);
+  EXPECT_EQ(Retries, GetParam().Retries_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Shares, RetryBudgetTest,
+    testing::Values(BudgetCase{"None", Percentage(0), 1000, 0, 0},
+                    BudgetCase{"Start", Percentage(10), 0, 0, 10},
+                    BudgetCase{"Tenth", Percentage(10), 200, 20, 10},
+                    BudgetCase{"Bounded", Percentage(50), 1000, 90, 10}),
+    CaseName());
+
+} // namespace
+} // namespace jaybridge
