--- a/Tests/Scenarios/TestScenarios.cpp
+++ b/Tests/Scenarios/TestScenarios.cpp
@@ -79,8 +79,10 @@
 };
 
 std::vector<FakeFault> makeRollingRestart() {
+  constexpr int Instances = 12;
   std::vector<FakeFault> Faults;
-  for (int Number = 0; Number < 12; ++Number)
+  Faults.reserve(Instances);
+  for (int Number = 0; Number < Instances; ++Number)
     Faults.push_back(
         {FaultKind::Restart, Number, 1s + Number * 2s, 3s + Number * 2s});
   return Faults;
