--- /dev/null
+++ b/Libraries/LibWire/EvidenceCodec.cpp
@@ -0,0 +1,155 @@
+#include <LibWire/EvidenceCodec.h>
+
+#include <LibWire/Generated/Evidence.capnp.h>
+#include <LibWire/WirePacking.h>
+
+#include <algorithm>
+
+namespace jaybridge {
+
+namespace {
+
+using wire::packedData;
+using wire::plainText;
+
+constexpr std::size_t BytesPerLatency = 3;
+constexpr std::uint8_t CancelledBit = 0x80;
+
+/// Greater counts are cut: the list of one report stays below them by far.
+std::string packLatencies(const std::vector<LatencyCount> &Latencies) {
+  constexpr std::uint64_t Greatest = 0xffff;
+  std::string Packed;
+  for (const LatencyCount &Each : Latencies) {
+    std::uint64_t Count = std::min(Each.Count_.value(), Greatest);
+    Packed += static_cast<char>(Each.Bucket_.value() |
+                                (Each.IsCancelled_ ? CancelledBit : 0));
+    Packed += static_cast<char>(Count & 0xff);
+    Packed += static_cast<char>(Count >> 8);
+  }
+  return Packed;
+}
+
+Result<std::vector<LatencyCount>> unpackLatencies(capnp::Data::Reader Packed) {
+  Error Damaged{ErrorCode::Damaged, "evidence with damaged latencies", {}};
+  if (Packed.size() % BytesPerLatency != 0)
+    return Damaged;
+  std::vector<LatencyCount> Latencies;
+  for (std::size_t I = 0; I < Packed.size(); I += BytesPerLatency) {
+    auto Bucket = static_cast<std::uint8_t>(Packed[I] & ~CancelledBit);
+    if (Bucket >= LatencyBucketCount)
+      return Damaged;
+    Latencies.push_back({LatencyBucket(Bucket),
+                         EventCount(Packed[I + 1] + Packed[I + 2] * 256ULL),
+                         (Packed[I] & CancelledBit) != 0});
+  }
+  return Latencies;
+}
+
+void write(capnp::List<std::uint64_t>::Builder Written,
+           const std::vector<Fingerprint> &Values) {
+  for (unsigned I = 0; I < Written.size(); ++I)
+    Written.set(I, Values[I].value());
+}
+
+std::vector<Fingerprint> read(capnp::List<std::uint64_t>::Reader Written) {
+  std::vector<Fingerprint> Values;
+  for (std::uint64_t Each : Written)
+    Values.emplace_back(Each);
+  return Values;
+}
+
+template <typename T> unsigned countOf(const std::vector<T> &Values) {
+  return static_cast<unsigned>(Values.size());
+}
+
+std::uint32_t bounded(EventCount Count) {
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(Count.value(), 0xffff'ffff));
+}
+
+Result<EvidenceReport> read(wire::WireEvidenceReport::Reader Root) {
+  EvidenceReport Message{MemberId(plainText(Root.getGateway())),
+                         ServiceName(plainText(Root.getService())),
+                         ReportNumber(Root.getNumber()),
+                         {},
+                         {},
+                         read(Root.getSurvived())};
+  for (auto Each : Root.getInstances()) {
+    JAYBRIDGE_TRY(auto Latencies, unpackLatencies(Each.getLatencies()));
+    Message.Instances_.push_back(
+        {InstanceId(plainText(Each.getInstance())), EventCount(Each.getGood()),
+         EventCount(Each.getFailed()), std::move(Latencies)});
+  }
+  for (auto Each : Root.getCrashes())
+    Message.Crashes_.push_back({InstanceId(plainText(Each.getInstance())),
+                                Fingerprint(Each.getFingerprint())});
+  return Message;
+}
+
+Result<EjectionAnswer> read(wire::WireEjectionAnswer::Reader Root) {
+  EjectionAnswer Message{MemberId(plainText(Root.getGateway())),
+                         ServiceName(plainText(Root.getService())),
+                         ReportNumber(Root.getNumber()),
+                         FenceNumber(Root.getFence()),
+                         ListRevision(Root.getRevision()),
+                         {},
+                         read(Root.getQuarantined()),
+                         read(Root.getSuspected())};
+  for (auto Each : Root.getEjected())
+    Message.Ejected_.emplace_back(plainText(Each));
+  return Message;
+}
+
+} // namespace
+
+std::string encodeEvidenceReport(const EvidenceReport &Message) {
+  capnp::MallocMessageBuilder Builder;
+  auto Root = Builder.initRoot<wire::WireEvidenceReport>();
+  Root.setGateway(Message.Gateway_.text());
+  Root.setService(Message.Service_.text());
+  Root.setNumber(Message.Number_.value());
+  auto Instances = Root.initInstances(countOf(Message.Instances_));
+  for (unsigned I = 0; I < Instances.size(); ++I) {
+    const InstanceEvidence &Each = Message.Instances_[I];
+    Instances[I].setInstance(Each.Instance_.text());
+    Instances[I].setGood(bounded(Each.Good_));
+    Instances[I].setFailed(bounded(Each.Failed_));
+    Instances[I].setLatencies(packedData(packLatencies(Each.Latencies_)));
+  }
+  auto Crashes = Root.initCrashes(countOf(Message.Crashes_));
+  for (unsigned I = 0; I < Crashes.size(); ++I) {
+    Crashes[I].setInstance(Message.Crashes_[I].Instance_.text());
+    Crashes[I].setFingerprint(Message.Crashes_[I].Fingerprint_.value());
+  }
+  write(Root.initSurvived(countOf(Message.Survived_)), Message.Survived_);
+  return wire::packedOf(Builder);
+}
+
+std::string encodeEjectionAnswer(const EjectionAnswer &Message) {
+  capnp::MallocMessageBuilder Builder;
+  auto Root = Builder.initRoot<wire::WireEjectionAnswer>();
+  Root.setGateway(Message.Gateway_.text());
+  Root.setService(Message.Service_.text());
+  Root.setNumber(Message.Number_.value());
+  Root.setFence(Message.Fence_.value());
+  Root.setRevision(Message.Revision_.value());
+  auto Ejected = Root.initEjected(countOf(Message.Ejected_));
+  for (unsigned I = 0; I < Ejected.size(); ++I)
+    Ejected.set(I, Message.Ejected_[I].text());
+  write(Root.initQuarantined(countOf(Message.Quarantined_)),
+        Message.Quarantined_);
+  write(Root.initSuspected(countOf(Message.Suspected_)), Message.Suspected_);
+  return wire::packedOf(Builder);
+}
+
+Result<EvidenceReport> decodeEvidenceReport(std::string_view Payload) {
+  return wire::readPacked<wire::WireEvidenceReport, EvidenceReport>(
+      Payload, [](auto Root) { return read(Root); });
+}
+
+Result<EjectionAnswer> decodeEjectionAnswer(std::string_view Payload) {
+  return wire::readPacked<wire::WireEjectionAnswer, EjectionAnswer>(
+      Payload, [](auto Root) { return read(Root); });
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibWire/EvidenceCodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibDetection/EvidenceReport.h>
+
+#include <string>
+#include <string_view>
+
+namespace jaybridge {
+
+std::string encodeEvidenceReport(const EvidenceReport &Message);
+std::string encodeEjectionAnswer(const EjectionAnswer &Message);
+
+/// Fail with `Damaged` on bytes that no codec wrote.
+Result<EvidenceReport> decodeEvidenceReport(std::string_view Payload);
+Result<EjectionAnswer> decodeEjectionAnswer(std::string_view Payload);
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibWire/WirePacking.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibCore/Result.h>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <string>
+#include <string_view>
+
+// Included by codec .cpp files only. Packing leaves out the zero bytes that
+// Cap'n Proto pads its words with, which are most of a small message.
+
+namespace jaybridge::wire {
+
+inline std::string packedOf(capnp::MessageBuilder &Message) {
+  kj::VectorOutputStream Stream;
+  capnp::writePackedMessage(Stream, Message);
+  auto Bytes = Stream.getArray();
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+inline capnp::Data::Reader packedData(std::string_view Text) {
+  return {reinterpret_cast<const capnp::byte *>(Text.data()), Text.size()};
+}
+
+inline std::string plainText(capnp::Text::Reader Text) {
+  return {Text.begin(), Text.size()};
+}
+
+/// Reads a packed message of type Root; a damaged one is an Error.
+template <typename Root, typename Value, typename Function>
+Result<Value> readPacked(std::string_view Payload, Function Read) {
+  try {
+    kj::ArrayInputStream Stream(packedData(Payload));
+    capnp::PackedMessageReader Reader(Stream);
+    return Read(Reader.getRoot<Root>());
+  } catch (const kj::Exception &Failure) {
+    return Error{ErrorCode::Damaged, Failure.getDescription().cStr(), {}};
+  }
+}
+
+} // namespace jaybridge::wire
--- /dev/null
+++ b/Specifications/EjectionLease.pml
@@ -0,0 +1,167 @@
+/* Ejection lists across a takeover (design section 3.3, LibDetection).
+ *
+ * Two authorities, two gateways, three instances, of which one may be ejected
+ * at a time. Reports and answers may be lost, repeated and late; an authority
+ * or a gateway that is frozen takes no step while time goes on. The lease goes
+ * to another authority once it has run out; the old one may not be told, but
+ * looks at its own expiry.
+ *
+ * Checked: the instances that any gateway treats as ejected are never more
+ * than the floor permits.
+ *
+ * check: expect=pass
+ * check: -DNO_WAIT expect=fail
+ * check: -DVALID_FROM_RECEIPT expect=fail
+ * check: -DFORGET_EARLIER_LISTS expect=fail
+ * check: -DIGNORE_LEASE_END expect=fail
+ */
+#define AUTHORITIES 2
+#define GATEWAYS 2
+#define INSTANCES 3
+#define PERMITTED 1
+#define TIME_TO_LIVE 2
+#define TERM 3 /* time to live and drift margin */
+#define LEASE 3
+#define END 10
+
+byte now;
+byte holder;
+byte leaseUntil[AUTHORITIES];
+byte ejectsFrom[AUTHORITIES];
+/* Bit i: the authority wants instance i ejected. */
+byte ejected[AUTHORITIES];
+/* When the last list of the authority that named the instance has expired. */
+byte inForceUntil[AUTHORITIES * INSTANCES];
+/* One answer to each gateway is in the network: its list, and when the report
+ * that it answers was sent. */
+bool answerSent[GATEWAYS];
+byte answerList[GATEWAYS];
+byte answerTo[GATEWAYS];
+/* The list in force at each gateway. */
+byte list[GATEWAYS];
+byte validUntil[GATEWAYS];
+/* The latest report of each gateway was sent at this time. */
+bool reportSent[GATEWAYS];
+byte reportAt[GATEWAYS];
+
+#define IN_FORCE(g) (now < validUntil[g] -> list[g] : 0)
+#define COUNT(set) (((set) & 1) + (((set) >> 1) & 1) + (((set) >> 2) & 1))
+#define NAMED(a, i) (inForceUntil[(a) * INSTANCES + (i)] > now)
+#ifdef FORGET_EARLIER_LISTS
+#define COUNTED(a) ejected[a]
+#else
+#define COUNTED(a) \
+  (ejected[a] | (NAMED(a, 0) -> 1 : 0) | (NAMED(a, 1) -> 2 : 0) | \
+   (NAMED(a, 2) -> 4 : 0))
+#endif
+#ifdef IGNORE_LEASE_END
+#define HOLDS(a) (leaseUntil[a] > 0)
+#else
+#define HOLDS(a) (now < leaseUntil[a])
+#endif
+
+proctype Clock() {
+end:
+  do
+  :: atomic {
+      now < END ->
+      now++;
+      /* What is over is set to 0, so that equal states are found equal. */
+      if :: validUntil[0] <= now -> validUntil[0] = 0; list[0] = 0 :: else fi;
+      if :: validUntil[1] <= now -> validUntil[1] = 0; list[1] = 0 :: else fi
+     }
+  :: atomic {
+      leaseUntil[holder] <= now && now < END ->
+      /* Won by either authority, after the lease has run out. */
+      if
+      :: holder = 0
+      :: holder = 1
+      fi;
+      leaseUntil[holder] = now + LEASE;
+      ejected[holder] = 0;
+#ifdef NO_WAIT
+      ejectsFrom[holder] = now
+#else
+      ejectsFrom[holder] = now + TERM
+#endif
+     }
+  :: atomic {
+      now < leaseUntil[holder] && leaseUntil[holder] < now + LEASE ->
+      leaseUntil[holder] = now + LEASE
+     }
+  od
+}
+
+proctype Authority(byte a) {
+  byte i, g;
+end:
+  do
+  :: atomic {
+      HOLDS(a) && now >= ejectsFrom[a] && COUNT(COUNTED(a)) < PERMITTED ->
+      if
+      :: ejected[a] = 1
+      :: ejected[a] = 2
+      fi
+     }
+  :: atomic { ejected[a] != 0 -> ejected[a] = 0 }
+  /* Answers the latest report of a gateway. */
+  :: atomic {
+      HOLDS(a) ->
+      select(g : 0 .. GATEWAYS - 1);
+      if
+      :: reportSent[g] ->
+          answerSent[g] = true;
+          answerList[g] = ejected[a];
+          answerTo[g] = reportAt[g];
+          i = 0;
+          do
+          :: i < INSTANCES ->
+              if
+              :: (ejected[a] >> i) & 1 ->
+                  inForceUntil[a * INSTANCES + i] = now + TERM
+              :: else
+              fi;
+              i++
+          :: else -> break
+          od;
+          i = 0
+      :: else
+      fi;
+      g = 0
+     }
+  od
+}
+
+proctype Gateway(byte g) {
+end:
+  do
+  :: atomic { !reportSent[g] || reportAt[g] < now ->
+      reportSent[g] = true;
+      reportAt[g] = now
+     }
+  :: atomic {
+      answerSent[g] ->
+      if
+#ifdef VALID_FROM_RECEIPT
+      :: true ->
+          list[g] = answerList[g];
+          validUntil[g] = now + TIME_TO_LIVE
+#else
+      :: answerTo[g] + TIME_TO_LIVE > now ->
+          list[g] = answerList[g];
+          validUntil[g] = answerTo[g] + TIME_TO_LIVE
+      :: else
+#endif
+      fi;
+      assert(COUNT(IN_FORCE(0) | IN_FORCE(1)) <= PERMITTED)
+     }
+  od
+}
+
+init {
+  atomic {
+    run Clock();
+    run Authority(0); run Authority(1);
+    run Gateway(0); run Gateway(1)
+  }
+}
--- /dev/null
+++ b/Tests/LibWire/TestLedgerAndEvidenceCodec.cpp
@@ -0,0 +1,173 @@
+#include <LibCore/Random.h>
+#include <LibWire/EvidenceCodec.h>
+#include <LibWire/LedgerCodec.h>
+#include <Support/CaseName.h>
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+
+namespace jaybridge {
+namespace {
+
+const ClaimId Id{MemberId("gateway-1"), Incarnation(1'700'000'000'000),
+                 ClaimNumber(42)};
+const ClaimId Other{MemberId("gateway-2"), Incarnation(3), ClaimNumber(4)};
+
+IdempotencyKey key() {
+  return IdempotencyKey::create("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")
+      .takeValue();
+}
+Answer response() {
+  return Response{StatusCode(201),
+                  {{"Content-Type", "application/json"}},
+                  std::make_shared<const std::string>("{\"ticket\": 7}")};
+}
+Answer refusal() {
+  return Refusal{Outcome::Ran, RefusalReason::HomeLost, Duration(1500),
+                 "detail"};
+}
+
+/// Every message with every alternative, encoded.
+std::vector<std::string> requests() {
+  return {encodeLedgerRequest(Claim{key(), Id, Fingerprint(7), Duration(9)}),
+          encodeLedgerRequest(Release{key(), Id}),
+          encodeLedgerRequest(Finish{key(), Id, Fingerprint(7), response()}),
+          encodeLedgerRequest(Finish{key(), Id, Fingerprint(7), refusal()})};
+}
+std::vector<std::string> replies() {
+  return {encodeLedgerReply(ClaimAnswer{Id, ClaimAccepted{}}),
+          encodeLedgerReply(
+              ClaimAnswer{Id, ClaimHeld{Other, Fingerprint(8), true}}),
+          encodeLedgerReply(ClaimAnswer{Id, ClaimFinished{{}, response()}}),
+          encodeLedgerReply(ClaimAnswer{Id, ClaimFinished{{}, refusal()}}),
+          encodeLedgerReply(
+              ClaimAnswer{Id, ClaimAbstained{AbstainReason::Restarted}}),
+          encodeLedgerReply(ClaimClosed{Id})};
+}
+
+/// A report of one gateway at the Agency's size: 7 instances, a few latencies.
+EvidenceReport report(std::size_t Instances) {
+  EvidenceReport Message{MemberId("gateway-1"),
+                         ServiceName("status-giliran"),
+                         ReportNumber(1'700'000'000'000'000),
+                         {},
+                         {{InstanceId("status-giliran-3"), Fingerprint(99)}},
+                         {Fingerprint(1), Fingerprint(2)}};
+  for (std::size_t I = 0; I < Instances; ++I)
+    Message.Instances_.push_back(
+        {InstanceId("status-giliran-" + std::to_string(I)),
+         EventCount(4),
+         EventCount(I),
+         {{LatencyBucket(20), EventCount(2), false},
+          {LatencyBucket(31), EventCount(300), true}}});
+  return Message;
+}
+EjectionAnswer answer() {
+  return {MemberId("gateway-1"),
+          ServiceName("status-giliran"),
+          ReportNumber(1'700'000'000'000'000),
+          FenceNumber(5),
+          ListRevision(6),
+          {InstanceId("status-giliran-3")},
+          {Fingerprint(1)},
+          {Fingerprint(2), Fingerprint(3)}};
+}
+
+// Guards against fields that are lost or mixed up on the way.
+TEST(LedgerCodec, ReadsBackWhatItWrote) {
+  for (const std::string &Each : requests())
+    EXPECT_EQ(encodeLedgerRequest(decodeLedgerRequest(Each).value()), Each);
+  for (const std::string &Each : replies())
+    EXPECT_EQ(encodeLedgerReply(decodeLedgerReply(Each).value()), Each);
+  auto Read = decodeLedgerRequest(requests()[2]).takeValue();
+  const auto &Ended = std::get<Finish>(Read);
+  EXPECT_EQ(Ended.Key_, key());
+  EXPECT_EQ(Ended.Id_, Id);
+  EXPECT_EQ(*std::get<Response>(Ended.Answer_).Body_, "{\"ticket\": 7}");
+  auto Reply = decodeLedgerReply(replies()[1]).takeValue();
+  const auto &Held = std::get<ClaimHeld>(std::get<ClaimAnswer>(Reply).Verdict_);
+  EXPECT_EQ(Held.Holder_, Other);
+  EXPECT_EQ(Held.Fingerprint_, Fingerprint(8));
+  EXPECT_TRUE(Held.IsOverdue_);
+}
+
+TEST(EvidenceCodec, ReadsBackWhatItWrote) {
+  EXPECT_EQ(decodeEvidenceReport(encodeEvidenceReport(report(7))).value(),
+            report(7));
+  EXPECT_EQ(decodeEjectionAnswer(encodeEjectionAnswer(answer())).value(),
+            answer());
+}
+
+enum class Codec { Request, Reply, Report, List };
+
+struct DamageCase {
+  const char *Name_;
+  Codec Codec_;
+  std::vector<std::string> (*Payloads_)();
+};
+
+bool isDecoded(Codec Which, const std::string &Payload) {
+  switch (Which) {
+  case Codec::Request:
+    return decodeLedgerRequest(Payload).hasValue();
+  case Codec::Reply:
+    return decodeLedgerReply(Payload).hasValue();
+  case Codec::Report:
+    return decodeEvidenceReport(Payload).hasValue();
+  case Codec::List:
+    return decodeEjectionAnswer(Payload).hasValue();
+  }
+  return false;
+}
+
+class DamagedMessageTest : public testing::TestWithParam<DamageCase> {};
+
+// Guards against bytes from the network that stop the process: a damaged
+// message is an Error, or at worst another whole message.
+TEST_P(DamagedMessageTest, NeverStopsTheProcess) {
+  Random Numbers{RandomSeed(5)};
+  EXPECT_FALSE(isDecoded(GetParam().Codec_, "garbage"));
+  for (const std::string &Whole : GetParam().Payloads_()) {
+    ASSERT_TRUE(isDecoded(GetParam().Codec_, Whole));
+    for (std::size_t Length = 0; Length < Whole.size(); ++Length)
+      isDecoded(GetParam().Codec_, Whole.substr(0, Length));
+    for (int I = 0; I < 2000; ++I) {
+      std::string Changed = Whole;
+      for (int Flips = 0; Flips < 3; ++Flips)
+        Changed[Numbers.below(Changed.size())] =
+            static_cast<char>(Numbers.below(256));
+      isDecoded(GetParam().Codec_, Changed);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Codecs, DamagedMessageTest,
+    testing::Values(DamageCase{"Request", Codec::Request, requests},
+                    DamageCase{"Reply", Codec::Reply, replies},
+                    DamageCase{"Report", Codec::Report,
+                               [] {
+                                 return std::vector<std::string>{
+                                     encodeEvidenceReport(report(7))};
+                               }},
+                    DamageCase{"List", Codec::List,
+                               [] {
+                                 return std::vector<std::string>{
+                                     encodeEjectionAnswer(answer())};
+                               }}),
+    CaseName());
+
+// Guards against reports that exceed the control traffic of a daemon, 4 KB/s:
+// two reports a second for each of two services, with their answers.
+TEST(EvidenceCodec, StaysWithinTheControlTraffic) {
+  std::size_t Report = encodeEvidenceReport(report(15)).size();
+  std::size_t List = encodeEjectionAnswer(answer()).size();
+  std::printf("report on 15 instances %zu bytes, on 7 instances %zu bytes, "
+              "list %zu bytes\n",
+              Report, encodeEvidenceReport(report(7)).size(), List);
+  EXPECT_LT(4 * (Report + List), 4096U);
+}
+
+} // namespace
+} // namespace jaybridge
