LibTransport: Add framed messages between daemons

Cause: daemons exchange one-way messages by IP address over TCP. A daemon sends on connections that it opened and receives on those that it accepted; the sender and its token are stated once per connection. Endpoint writes its comparisons out, as Identifier does.

--- a/Libraries/LibCore/Endpoint.h
+++ b/Libraries/LibCore/Endpoint.h
@@ -21,7 +21,16 @@
   Port port() const { return Port_; }
   std::string text() const;
 
-  friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+  // Written out: clang-tidy 14 reports code inside defaulted comparisons.
+  friend bool operator==(const Endpoint &Left, const Endpoint &Right) {
+    return Left.Address_ == Right.Address_ && Left.Port_ == Right.Port_;
+  }
+  friend std::strong_ordering operator<=>(const Endpoint &Left,
+                                          const Endpoint &Right) {
+    if (auto Order = Left.Address_ <=> Right.Address_; Order != 0)
+      return Order;
+    return Left.Port_ <=> Right.Port_;
+  }
 
 private:
   Endpoint(std::string Address, Port Number)
--- /dev/null
+++ b/Libraries/LibTransport/PeerFrame.cpp
@@ -0,0 +1,61 @@
+#include <LibTransport/PeerFrame.h>
+
+#include <optional>
+
+namespace jaybridge {
+
+namespace {
+
+constexpr std::string_view Protocol = "jaybridge-peer-1";
+
+/// Fields of a hello are lines; none of them may hold a line break.
+std::optional<std::string_view> takeLine(std::string_view &Rest) {
+  const std::size_t End = Rest.find('\n');
+  if (End == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view Line = Rest.substr(0, End);
+  Rest.remove_prefix(End + 1);
+  return Line;
+}
+
+} // namespace
+
+std::string encodeFrame(std::uint8_t Kind, std::string_view Payload) {
+  const auto Length = static_cast<std::uint32_t>(Payload.size());
+  std::string Frame;
+  Frame.reserve(FrameHeaderSize + Payload.size());
+  for (int Shift : {24, 16, 8, 0})
+    Frame += static_cast<char>((Length >> Shift) & 0xff);
+  Frame += static_cast<char>(Kind);
+  return Frame.append(Payload);
+}
+
+FrameStart decodeFrameHeader(const FrameHeader &Bytes) {
+  FrameStart Start;
+  for (std::size_t I = 0; I + 1 < FrameHeaderSize; ++I)
+    Start.Length_ = (Start.Length_ << 8) | Bytes[I];
+  Start.Kind_ = Bytes[FrameHeaderSize - 1];
+  return Start;
+}
+
+std::string encodeHello(const PeerHello &Hello) {
+  std::string Payload(Protocol);
+  for (const std::string &Field :
+       {Hello.Token_, Hello.Member_.text(), Hello.Advertised_.text()})
+    Payload += "\n" + Field;
+  return encodeFrame(HelloKind, Payload + "\n");
+}
+
+Result<PeerHello> decodeHello(std::string_view Payload) {
+  const auto Version = takeLine(Payload);
+  const auto Token = takeLine(Payload);
+  const auto Member = takeLine(Payload);
+  const auto Address = takeLine(Payload);
+  if (Version != Protocol || !Address || Member->empty() || !Payload.empty())
+    return Error{ErrorCode::Damaged, "not a peer's handshake", {}};
+  JAYBRIDGE_TRY(Endpoint Advertised, Endpoint::create(*Address));
+  return PeerHello{std::string(*Token), MemberId(std::string(*Member)),
+                   std::move(Advertised)};
+}
+
+} // namespace jaybridge
