--- a/Libraries/LibWire/Envelope.h
+++ b/Libraries/LibWire/Envelope.h
@@ -19,11 +19,13 @@
   Forward = 8,
   Trace = 9,
   Configuration = 10,
+  LedgerReply = 11,
+  EjectionAnswer = 12,
 };
 
 constexpr bool isMessageKind(std::uint8_t Number) {
   return Number >= static_cast<std::uint8_t>(MessageKind::Replication) &&
-         Number <= static_cast<std::uint8_t>(MessageKind::Configuration);
+         Number <= static_cast<std::uint8_t>(MessageKind::EjectionAnswer);
 }
 
 /// A message between daemons as the transport carries it.
