--- a/Specifications/EjectionLease.pml
+++ b/Specifications/EjectionLease.pml
@@ -1,7 +1,7 @@
 /* Ejection lists across a takeover (design section 3.3, LibDetection).
  *
- * Two authorities, two gateways, three instances, of which one may be ejected
- * at a time. Reports and answers may be lost, repeated and late; an authority
+ * Two authorities, two gateways, two instances, of which one may be ejected at
+ * a time. Reports and answers may be lost, repeated and late; an authority
  * or a gateway that is frozen takes no step while time goes on. The lease goes
  * to another authority once it has run out; the old one may not be told, but
  * looks at its own expiry.
@@ -17,12 +17,12 @@
  */
 #define AUTHORITIES 2
 #define GATEWAYS 2
-#define INSTANCES 3
+#define INSTANCES 2
 #define PERMITTED 1
 #define TIME_TO_LIVE 2
 #define TERM 3 /* time to live and drift margin */
-#define LEASE 3
-#define END 10
+#define LEASE 2
+#define END 12
 
 byte now;
 byte holder;
@@ -45,14 +45,13 @@
 byte reportAt[GATEWAYS];
 
 #define IN_FORCE(g) (now < validUntil[g] -> list[g] : 0)
-#define COUNT(set) (((set) & 1) + (((set) >> 1) & 1) + (((set) >> 2) & 1))
+#define COUNT(set) (((set) & 1) + ((set) >> 1))
 #define NAMED(a, i) (inForceUntil[(a) * INSTANCES + (i)] > now)
 #ifdef FORGET_EARLIER_LISTS
 #define COUNTED(a) ejected[a]
 #else
 #define COUNTED(a) \
-  (ejected[a] | (NAMED(a, 0) -> 1 : 0) | (NAMED(a, 1) -> 2 : 0) | \
-   (NAMED(a, 2) -> 4 : 0))
+  (ejected[a] | (NAMED(a, 0) -> 1 : 0) | (NAMED(a, 1) -> 2 : 0))
 #endif
 #ifdef IGNORE_LEASE_END
 #define HOLDS(a) (leaseUntil[a] > 0)
@@ -60,15 +59,58 @@
 #define HOLDS(a) (now < leaseUntil[a])
 #endif
 
+/* What is over is set to 0, so that equal states are found equal. */
+inline forget(g) {
+  if
+  :: validUntil[g] <= now -> validUntil[g] = 0; list[g] = 0
+  :: else
+  fi;
+#ifndef VALID_FROM_RECEIPT
+  if
+  :: answerSent[g] && answerTo[g] + TIME_TO_LIVE <= now ->
+      answerSent[g] = false; answerList[g] = 0; answerTo[g] = 0
+  :: else
+  fi;
+  if
+  :: reportSent[g] && reportAt[g] + TIME_TO_LIVE <= now ->
+      reportSent[g] = false; reportAt[g] = 0
+  :: else
+  fi
+#endif
+}
+
+inline forgetAuthority(a) {
+  if
+  :: inForceUntil[a * INSTANCES] <= now -> inForceUntil[a * INSTANCES] = 0
+  :: else
+  fi;
+  if
+  :: inForceUntil[a * INSTANCES + 1] <= now ->
+      inForceUntil[a * INSTANCES + 1] = 0
+  :: else
+  fi;
+  if
+  :: ejectsFrom[a] <= now -> ejectsFrom[a] = 0
+  :: else
+  fi;
+#ifndef IGNORE_LEASE_END
+  if
+  :: leaseUntil[a] <= now ->
+      leaseUntil[a] = 0; ejected[a] = 0; ejectsFrom[a] = 0;
+      inForceUntil[a * INSTANCES] = 0; inForceUntil[a * INSTANCES + 1] = 0
+  :: else
+  fi
+#endif
+}
+
 proctype Clock() {
 end:
   do
   :: atomic {
       now < END ->
       now++;
-      /* What is over is set to 0, so that equal states are found equal. */
-      if :: validUntil[0] <= now -> validUntil[0] = 0; list[0] = 0 :: else fi;
-      if :: validUntil[1] <= now -> validUntil[1] = 0; list[1] = 0 :: else fi
+      forget(0); forget(1);
+      forgetAuthority(0); forgetAuthority(1)
      }
   :: atomic {
       leaseUntil[holder] <= now && now < END ->
