--- a/Tests/LibReplication/ReplicationGroup.cpp
+++ b/Tests/LibReplication/ReplicationGroup.cpp
@@ -1,5 +1,8 @@
 #include "ReplicationGroup.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace jaybridge {
 
 namespace {
@@ -144,14 +147,38 @@
 
 void ReplicationGroup::give(std::size_t Member, const ReplicationEvent &Event) {
   wake(Member);
-  ReplicatedLog::Effects Effects;
-  log(Member).handle(Event, Now_, Effects);
-  perform(Member, std::move(Effects));
+  observe(Member, [&](ReplicatedLog::Effects &Effects) {
+    log(Member).handle(Event, Now_, Effects);
+  });
 }
 
 void ReplicationGroup::wake(std::size_t Member) {
+  observe(Member, [&](ReplicatedLog::Effects &Effects) {
+    log(Member).advance(Now_, Effects);
+  });
+}
+
+/// A leader may change one voter at a time, and only after the change before it
+/// was committed; otherwise majorities need not intersect.
+template <typename Function>
+void ReplicationGroup::observe(std::size_t Member, Function Call) {
+  const ReplicatedLog &Log = log(Member);
+  bool IsLeading = Log.isLeader();
+  Term Before = Log.term();
+  VoterSet Old = Log.members();
+  LogIndex OldIndex = Log.entries().membersIndex();
   ReplicatedLog::Effects Effects;
-  log(Member).advance(Now_, Effects);
+  Call(Effects);
+  if (IsLeading && Log.isLeader() && Log.term() == Before &&
+      Log.entries().membersIndex() != OldIndex) {
+    std::vector<Voter> Changed;
+    const std::vector<Voter> &New = Log.members().Voters_;
+    std::set_symmetric_difference(Old.Voters_.begin(), Old.Voters_.end(),
+                                  New.begin(), New.end(),
+                                  std::back_inserter(Changed));
+    EXPECT_LE(Changed.size(), 1U);
+    EXPECT_LE(OldIndex, Log.commitIndex());
+  }
   perform(Member, std::move(Effects));
 }
 
@@ -160,44 +187,46 @@
   auto &M = Members_[Member];
   for (ReplicationEffect &Effect : Effects)
     std::visit(
-        Overloaded{[&](SendReplication &Sent) { transmit(Member, Sent); },
-                   [&](PersistLog &Write) {
-                     Persisted Done{Write.Sequence_};
-                     later(std::chrono::milliseconds(5),
-                           Pending{Member, M.Run_, {}, Done, std::move(Write)});
-                   },
-                   [&](CommitCommand &Commit) {
-                     apply(Member, Commit.Index_, Commit.Payload_);
-                   },
-                   [&](InstallSnapshot &Install) {
-                     ++M.SnapshotsInstalled_;
-                     M.Catalog_ = ConfigurationCatalog();
-                     M.Applied_ = lines(Install.State_);
-                     for (const std::string &Each : M.Applied_)
-                       (void)M.Catalog_.apply(Changes_.at(Each));
-                   },
-                   [&](TakeSnapshot &Take) {
-                     std::string State;
-                     for (const std::string &Each : M.Applied_)
-                       State += Each + "\n";
-                     later(Duration(0),
-                           Pending{Member,
-                                   M.Run_,
-                                   {},
-                                   SnapshotTaken{Take.Index_, std::move(State)},
-                                   {}});
-                   },
-                   [&](ProposalAnswer &Answer) {
-                     EXPECT_TRUE(Answers_.emplace(Answer.Id_, Answer).second);
-                   },
-                   [&](ReadAnswer &Answer) {
-                     EXPECT_TRUE(
-                         ReadAnswers_.emplace(Answer.Id_, Answer).second);
-                   },
-                   [&](MemberStopped &Stopped) {
-                     EXPECT_EQ(Stopped.Reason_.Code_, ErrorCode::Full)
-                         << Stopped.Reason_.Message_;
-                   }},
+        Overloaded{
+            [&](SendReplication &Sent) { transmit(Member, Sent); },
+            [&](PersistLog &Write) {
+              Persisted Done{Write.Sequence_};
+              later(std::chrono::milliseconds(5),
+                    Pending{Member, M.Run_, {}, Done, std::move(Write)});
+            },
+            [&](CommitCommand &Commit) {
+              apply(Member, Commit.Index_, Commit.Payload_);
+            },
+            [&](InstallSnapshot &Install) {
+              ++M.SnapshotsInstalled_;
+              M.Catalog_ = ConfigurationCatalog();
+              M.Applied_ = lines(Install.State_);
+              for (const std::string &Each : M.Applied_)
+                (void)M.Catalog_.apply(Changes_.at(Each));
+            },
+            [&](TakeSnapshot &Take) {
+              std::string State;
+              for (const std::string &Each : M.Applied_)
+                State += Each + "\n";
+              // Longer than one piece; what follows the last line is ignored.
+              State.append(2 * ReplicatedLog::SnapshotPieceSize.value(), ' ');
+              later(Duration(0),
+                    Pending{Member,
+                            M.Run_,
+                            {},
+                            SnapshotTaken{Take.Index_, std::move(State)},
+                            {}});
+            },
+            [&](ProposalAnswer &Answer) {
+              EXPECT_TRUE(Answers_.emplace(Answer.Id_, Answer).second);
+            },
+            [&](ReadAnswer &Answer) {
+              EXPECT_TRUE(ReadAnswers_.emplace(Answer.Id_, Answer).second);
+            },
+            [&](MemberStopped &Stopped) {
+              EXPECT_EQ(Stopped.Reason_.Code_, ErrorCode::Full)
+                  << Stopped.Reason_.Message_;
+            }},
         Effect);
 }
 
--- a/Tests/LibReplication/ReplicationGroup.h
+++ b/Tests/LibReplication/ReplicationGroup.h
@@ -97,6 +97,7 @@
   void deliver(Pending Item);
   void give(std::size_t Member, const ReplicationEvent &Event);
   void wake(std::size_t Member);
+  template <typename Function> void observe(std::size_t Member, Function Call);
   void perform(std::size_t Member, ReplicatedLog::Effects Effects);
   void transmit(std::size_t From, const SendReplication &Sent);
   void apply(std::size_t Member, LogIndex Index, const std::string &Payload);
