jaybridged: Host every role and join them by messages

Cause: the thin path had one daemon and a local configuration. Change: the daemon hosts configuration, fleet, authority, ledger and history roles on threads of their own, with a storage thread on control members, and joins them over the peer transport.

--- a/Libraries/LibControl/HistoryService.h
+++ b/Libraries/LibControl/HistoryService.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <LibControl/Queries.h>
+#include <LibControl/TraceMessages.h>
 #include <LibCore/DecisionRole.h>
 #include <LibTrace/AuditTrail.h>
-#include <LibTrace/RequestHistory.h>
 
+#include <map>
 #include <variant>
 
 namespace jaybridge {
@@ -12,6 +12,8 @@
 struct TraceAsked {
   QueryId Query_;
   RequestId Request_;
+  /// The daemon that received the request.
+  MemberId Receiver_;
 };
 
 struct AuditAsked {
@@ -30,20 +32,37 @@
 };
 
 /// Keeps the histories of the requests that this daemon handled, and the audit
-/// entries that reached it.
+/// entries that reached it. Histories of other daemons are fetched from them.
 class HistoryService {
 public:
-  using Event = std::variant<RecordStep, AuditEntry, TraceAsked, AuditAsked>;
-  using Effect = std::variant<TraceFound, AuditFound>;
+  static constexpr Duration AnswerLimit = 3s;
+  static constexpr std::size_t GreatestOpenCount = 1024;
+
+  using Event = std::variant<RecordStep, AuditEntry, TraceAsked, AuditAsked,
+                             FromMember<TraceMessage>>;
+  using Effect =
+      std::variant<TraceFound, AuditFound, SendToMember<TraceMessage>>;
   using Effects = std::vector<Effect>;
 
+  explicit HistoryService(MemberId Self) : Self_(std::move(Self)) {}
+
   void handle(const Event &Incoming, TimePoint Now, Effects &Out);
-  void advance(TimePoint /*Now*/, Effects & /*Out*/) {}
-  std::optional<TimePoint> nextDeadline() const { return std::nullopt; }
+  void advance(TimePoint Now, Effects &Out);
+  std::optional<TimePoint> nextDeadline() const;
 
 private:
+  struct OpenQuestion {
+    MemberId Receiver_;
+    TimePoint GivenUpAt_;
+  };
+
+  void ask(const TraceAsked &Asked, TimePoint Now, Effects &Out);
+  void receive(const FromMember<TraceMessage> &Got, Effects &Out);
+
+  MemberId Self_;
   RequestHistory History_;
   AuditTrail Trail_;
+  std::map<QueryId, OpenQuestion> Open_;
 };
 
 static_assert(DecisionRole<HistoryService>);
--- /dev/null
+++ b/Libraries/LibOperator/StatusJson.cpp
@@ -0,0 +1,64 @@
+#include <LibOperator/StatusJson.h>
+
+#include <nlohmann/json.hpp>
+
+namespace jaybridge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const char *stateName(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+    return "alive";
+  case MemberState::Suspect:
+    return "suspect";
+  case MemberState::Dead:
+    return "dead";
+  case MemberState::Left:
+    return "left";
+  }
+  return "alive";
+}
+
+Json memberJson(const MemberStatus &Member, ConfigurationVersion InForce) {
+  std::uint64_t Behind =
+      Member.Version_ < InForce ? InForce.value() - Member.Version_.value() : 0;
+  return {{"id", Member.Record_.Id_.text()},
+          {"failure_domain", Member.Record_.Domain_.text()},
+          {"address", Member.Record_.Address_.text()},
+          {"state", stateName(Member.Record_.State_)},
+          {"control", Member.Record_.IsControlMember_},
+          {"configuration_version", Member.Version_.value()},
+          {"versions_behind", Behind}};
+}
+
+Json serviceJson(const ServiceStatus &Service) {
+  Json Fields = {{"service", Service.Service_.text()},
+                 {"serving", Service.Serving_.value()},
+                 {"draining", Service.Draining_.value()},
+                 {"ejected", Service.Ejected_.value()}};
+  if (Service.Policy_) {
+    Fields["profile"] = Service.Policy_->Profile_.name().text();
+    Fields["floor_percent"] = Service.Policy_->Profile_.floor().value();
+  }
+  return Fields;
+}
+
+} // namespace
+
+Json statusJson(const StatusFound &Found) {
+  Json Members = Json::array();
+  for (const MemberStatus &Member : Found.Members_)
+    Members.push_back(memberJson(Member, Found.Version_));
+  Json Services = Json::array();
+  for (const ServiceStatus &Service : Found.Services_)
+    Services.push_back(serviceJson(Service));
+  return {{"member", Found.Self_.text()},
+          {"configuration_version", Found.Version_.value()},
+          {"members", Members},
+          {"services", Services}};
+}
+
+} // namespace jaybridge
--- a/Meta/jaybridge.sh
+++ b/Meta/jaybridge.sh
@@ -41,6 +41,12 @@
   lint
   run_tests
   ;;
+run)
+  . Meta/dependencies.sh
+  install_dependencies
+  build
+  exec Meta/run-fleet.sh
+  ;;
 *)
   sed -n '2s/^# //p' "$0"
   exit 2
--- /dev/null
+++ b/Services/jaybridged/DaemonConfiguration.cpp
@@ -0,0 +1,58 @@
+#include <Daemon.h>
+
+namespace jaybridge {
+
+void Daemon::startConfiguration() {
+  if (Storage_)
+    Storage_->start([this](StorageThread::Outcome Ended) {
+      std::visit(
+          [this](auto &Each) {
+            // The log would wait for a lost outcome without end, and never
+            // waits for this thread itself.
+            (void)Configuration_.ring().push(std::move(Each));
+          },
+          Ended);
+    });
+  Configuration_.start(
+      [this](ConfigurationEffect Effect) -> std::optional<ConfigurationEvent> {
+        if (auto *Write = std::get_if<PersistLog>(&Effect))
+          return persist(*Write);
+        deliver(std::move(Effect));
+        return std::nullopt;
+      });
+}
+
+std::optional<ConfigurationEvent> Daemon::persist(PersistLog &Write) {
+  if (Storage_->write(std::move(Write)))
+    return std::nullopt;
+  RingsFull_.add();
+  return PersistFailed{
+      Error{ErrorCode::Full, "the storage thread does not keep up", {}}};
+}
+
+void Daemon::deliver(ConfigurationEffect Effect) {
+  std::visit(
+      Overloaded{
+          [this](SendToMember<ConfigurationMessage> &Send) {
+            send(Send.To_, Send.Message_);
+          },
+          [this](SendReplication &Send) { send(Send.To_, Send.Message_); },
+          [](PersistLog &) {},
+          [this](ChangeAnswered &Answered) { Api_.answer(Answered); },
+          [this](CatalogAnswered &Answered) { Api_.answer(Answered); },
+          [this](ChangeCommitted &Committed) {
+            post(*Fleet_, std::move(Committed));
+          },
+          [this](CatalogInstalled &Installed) {
+            post(*Fleet_, std::move(Installed));
+          },
+          [this](AuditEntry &Entry) { record(std::move(Entry)); },
+          [this](MemberStopped &Stopped) {
+            Log_.write(LogLevel::Error, "control-member-stopped",
+                       {{"reason", Stopped.Reason_.Message_}});
+          },
+      },
+      Effect);
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Services/jaybridged/DaemonOperators.cpp
@@ -0,0 +1,80 @@
+#include <Daemon.h>
+
+#include <LibHTTP/RequestIdGenerator.h>
+
+namespace jaybridge {
+
+void Daemon::startHistory() {
+  History_.start([this](HistoryService::Effect Effect)
+                     -> std::optional<HistoryService::Event> {
+    deliver(std::move(Effect));
+    return std::nullopt;
+  });
+}
+
+void Daemon::deliver(HistoryService::Effect Effect) {
+  std::visit(Overloaded{
+                 [this](SendToMember<TraceMessage> &Send) {
+                   send(Send.To_, Send.Message_);
+                 },
+                 [this](const auto &Found) { Api_.answer(Found); },
+             },
+             Effect);
+}
+
+OperatorOutlets Daemon::operatorOutlets() {
+  OperatorOutlets Outlets;
+  Outlets.Change_ = [this](ChangeAsked Asked) {
+    return post(Configuration_, std::move(Asked));
+  };
+  Outlets.Catalog_ = [this](CatalogAsked Asked) {
+    return post(Configuration_, Asked);
+  };
+  Outlets.Audit_ = [this](AuditAsked Asked) {
+    return post(History_, std::move(Asked));
+  };
+  Outlets.Trace_ = [this](TraceAsked Asked) {
+    Asked.Receiver_ = memberOf(Asked.Request_);
+    return post(History_, std::move(Asked));
+  };
+  Outlets.Status_ = [this](StatusAsked Asked) { return post(*Fleet_, Asked); };
+  return Outlets;
+}
+
+std::string Daemon::metricsText() {
+  CallerListenerCounts Callers = Requests_->callers().counts();
+  UpstreamClientCounts Upstreams = Requests_->upstreams().counts();
+  RequestPathCounts Answers = Requests_->counts();
+  PeerTransportCounts Peers = Peers_.counts();
+  const std::pair<const char *, EventCount> Counts[] = {
+      {"jaybridge_requests_received_total", Callers.Received_},
+      {"jaybridge_requests_refused_by_listener_total", Callers.Refused_},
+      {"jaybridge_callers_gone_total", Callers.Gone_},
+      {"jaybridge_answers_without_caller_total", Callers.AnswersWithoutCaller_},
+      {"jaybridge_answers_whole_total", Answers.Answered_},
+      {"jaybridge_refusals_not_run_total", Answers.RefusedNotRun_},
+      {"jaybridge_refusals_ran_total", Answers.RefusedRan_},
+      {"jaybridge_refusals_unknown_total", Answers.RefusedUnknown_},
+      {"jaybridge_request_rings_full_total", Answers.RingsFull_},
+      {"jaybridge_attempts_started_total", Upstreams.Started_},
+      {"jaybridge_upstream_connections_total", Upstreams.Connections_},
+      {"jaybridge_resends_prevented_total", Upstreams.ResendsPrevented_},
+      {"jaybridge_peer_messages_sent_total", Peers.Sent_},
+      {"jaybridge_peer_messages_received_total", Peers.Received_},
+      {"jaybridge_peer_queues_full_total", Peers.QueueFull_},
+      {"jaybridge_peer_messages_expired_total", Peers.Expired_},
+      {"jaybridge_peers_unauthorized_total", Peers.Unauthorized_},
+      {"jaybridge_peer_messages_damaged_total", Peers_.damagedCount()},
+      {"jaybridge_announcements_unauthorized_total",
+       Announcements_->counts().Unauthorized_},
+      {"jaybridge_operators_unauthorized_total",
+       Operators_->counts().Unauthorized_},
+  };
+  std::string Text = Metrics_.text();
+  for (const auto &[Name, Count] : Counts)
+    Text += std::string("# TYPE ") + Name + " counter\n" + Name + " " +
+            std::to_string(Count.value()) + "\n";
+  return Text;
+}
+
+} // namespace jaybridge
--- a/Services/jaybridged/OperatorApi.cpp
+++ b/Services/jaybridged/OperatorApi.cpp
@@ -1,7 +1,10 @@
 #include <OperatorApi.h>
 
+#include <ControlResponses.h>
+
 #include <LibOperator/ChangeJson.h>
 #include <LibOperator/ProfileJson.h>
+#include <LibOperator/StatusJson.h>
 #include <LibOperator/TraceJson.h>
 #include <LibRuntime/SystemClock.h>
 
@@ -15,39 +18,6 @@
 
 using Json = nlohmann::json;
 
-ControlResponse success(const Json &Body) {
-  return ControlResponse{StatusCode(200), "application/json", Body.dump()};
-}
-
-StatusCode statusOf(ErrorCode Code) {
-  switch (Code) {
-  case ErrorCode::Invalid:
-    return StatusCode(422);
-  case ErrorCode::Conflict:
-    return StatusCode(409);
-  case ErrorCode::NotFound:
-    return StatusCode(404);
-  case ErrorCode::Unauthorized:
-    return StatusCode(401);
-  case ErrorCode::Unavailable:
-  case ErrorCode::TimedOut:
-  case ErrorCode::Full:
-    return StatusCode(503);
-  default:
-    return StatusCode(500);
-  }
-}
-
-ControlResponse failure(const Error &Reason) {
-  StatusCode Status = statusOf(Reason.Code_);
-  Json Body = {{"title", errorCodeName(Reason.Code_)},
-               {"status", Status.value()},
-               {"detail", Reason.Message_}};
-  if (!Reason.Field_.empty())
-    Body["field"] = Reason.Field_;
-  return ControlResponse{Status, "application/problem+json", Body.dump()};
-}
-
 /// Value of a query parameter; empty when it is absent.
 std::string parameter(const std::string &Query, const std::string &Name) {
   std::size_t Start = 0;
@@ -73,9 +43,9 @@
       continue;
     Json Body = toJson(Draft);
     Body["version"] = Catalog.Version_.value();
-    return success(Body);
+    return jsonResponse(Body);
   }
-  return failure(
+  return problemResponse(
       Error{ErrorCode::NotFound, "no profile is named '" + Name + "'", {}});
 }
 
@@ -83,10 +53,10 @@
                              const std::string &Name) {
   for (const AssignService &Assigned : Catalog.Assignments_)
     if (Assigned.Service_.text() == Name)
-      return success({{"service", Name},
-                      {"profile", Assigned.Profile_.text()},
-                      {"version", Catalog.Version_.value()}});
-  return failure(Error{
+      return jsonResponse({{"service", Name},
+                           {"profile", Assigned.Profile_.text()},
+                           {"version", Catalog.Version_.value()}});
+  return problemResponse(Error{
       ErrorCode::NotFound, "service '" + Name + "' runs under no profile", {}});
 }
 
@@ -127,7 +97,7 @@
   Routes.push_back(Get("/v1/profiles", [this](ControlRequest, ControlReply To) {
     getCatalog(
         [](const ConfigurationSnapshot &Catalog) {
-          return success(profilesJson(Catalog));
+          return jsonResponse(profilesJson(Catalog));
         },
         std::move(To));
   }));
@@ -143,7 +113,7 @@
   Routes.push_back(Get("/v1/services", [this](ControlRequest, ControlReply To) {
     getCatalog(
         [](const ConfigurationSnapshot &Catalog) {
-          return success(servicesJson(Catalog));
+          return jsonResponse(servicesJson(Catalog));
         },
         std::move(To));
   }));
@@ -164,13 +134,17 @@
       Get("/v1/trace/", [this](ControlRequest Asked, ControlReply To) {
         getTrace(Asked, std::move(To));
       }));
+  Routes.push_back(Get("/v1/status", [this](ControlRequest, ControlReply To) {
+    QueryId Query = wait(Waiting{std::move(To), {}, {}});
+    refuseUnless(Outlets_.Status_(StatusAsked{Query}), Query);
+  }));
   return Routes;
 }
 
 void OperatorApi::postChange(const ControlRequest &Asked, ControlReply Reply) {
   auto Change = changeFrom(Json::parse(Asked.Body_, nullptr, false), wallNow());
   if (!Change) {
-    Reply(failure(Change.error()));
+    Reply(problemResponse(Change.error()));
     return;
   }
   QueryId Query =
@@ -186,7 +160,7 @@
 void OperatorApi::getAudit(const ControlRequest &Asked, ControlReply Reply) {
   auto Filter = readAuditQuery(Asked.Query_);
   if (!Filter) {
-    Reply(failure(Filter.error()));
+    Reply(problemResponse(Filter.error()));
     return;
   }
   QueryId Query = wait(Waiting{std::move(Reply), {}, {}});
@@ -196,7 +170,7 @@
 void OperatorApi::getTrace(const ControlRequest &Asked, ControlReply Reply) {
   QueryId Query = wait(Waiting{std::move(Reply), {}, {}});
   RequestId Wanted(lastSegment(Asked.Path_));
-  refuseUnless(Outlets_.Trace_(TraceAsked{Query, std::move(Wanted)}), Query);
+  refuseUnless(Outlets_.Trace_(TraceAsked{Query, std::move(Wanted), MemberId()}), Query);
 }
 
 void OperatorApi::answer(const ChangeAnswered &Answered) {
@@ -204,11 +178,11 @@
   if (!Asker)
     return;
   if (!Answered.Answer_) {
-    Asker->Reply_(failure(Answered.Answer_.error()));
+    Asker->Reply_(problemResponse(Answered.Answer_.error()));
     return;
   }
-  Asker->Reply_(success({{"version", Answered.Answer_.value().value()},
-                         {"request_id", Asker->RequestId_.text()}}));
+  Asker->Reply_(jsonResponse({{"version", Answered.Answer_.value().value()},
+                              {"request_id", Asker->RequestId_.text()}}));
 }
 
 void OperatorApi::answer(const CatalogAnswered &Answered) {
@@ -216,20 +190,25 @@
   if (!Asker)
     return;
   Asker->Reply_(Answered.Answer_ ? Asker->Writer_(Answered.Answer_.value())
-                                 : failure(Answered.Answer_.error()));
+                                 : problemResponse(Answered.Answer_.error()));
 }
 
 void OperatorApi::answer(const AuditFound &Found) {
   if (auto Asker = take(Found.Query_))
-    Asker->Reply_(success(auditJson(Found.Entries_)));
+    Asker->Reply_(jsonResponse(auditJson(Found.Entries_)));
 }
 
 void OperatorApi::answer(const TraceFound &Found) {
   auto Asker = take(Found.Query_);
   if (!Asker)
     return;
-  Asker->Reply_(Found.Steps_ ? success(traceJson(Found.Steps_.value()))
-                             : failure(Found.Steps_.error()));
+  Asker->Reply_(Found.Steps_ ? jsonResponse(traceJson(Found.Steps_.value()))
+                             : problemResponse(Found.Steps_.error()));
+}
+
+void OperatorApi::answer(const StatusFound &Found) {
+  if (auto Asker = take(Found.Query_))
+    Asker->Reply_(jsonResponse(statusJson(Found)));
 }
 
 QueryId OperatorApi::wait(Waiting Opened) {
@@ -253,8 +232,8 @@
   if (IsPassedOn)
     return;
   if (auto Asker = take(Query))
-    Asker->Reply_(
-        failure(Error{ErrorCode::Unavailable, "the daemon is overloaded", {}}));
+    Asker->Reply_(problemResponse(
+        Error{ErrorCode::Unavailable, "the daemon is overloaded", {}}));
 }
 
 } // namespace jaybridge
--- a/Services/jaybridged/OperatorApi.h
+++ b/Services/jaybridged/OperatorApi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibControl/ConfigurationMessages.h>
+#include <LibControl/FleetMessages.h>
 #include <LibControl/HistoryService.h>
 #include <LibHTTP/ControlListener.h>
 
@@ -16,6 +17,7 @@
   std::function<bool(CatalogAsked)> Catalog_;
   std::function<bool(AuditAsked)> Audit_;
   std::function<bool(TraceAsked)> Trace_;
+  std::function<bool(StatusAsked)> Status_;
 };
 
 /// Turns operators' HTTP requests into questions for the duty threads, and
@@ -31,6 +33,7 @@
   void answer(const CatalogAnswered &Answered);
   void answer(const AuditFound &Found);
   void answer(const TraceFound &Found);
+  void answer(const StatusFound &Found);
 
 private:
   /// What to do with a catalog once it is there.
--- /dev/null
+++ b/Services/jaybridged/PeerLink.cpp
@@ -0,0 +1,153 @@
+#include <PeerLink.h>
+
+#include <LibRuntime/SystemClock.h>
+#include <LibWire/ControlCodec.h>
+#include <LibWire/DirectoryCodec.h>
+#include <LibWire/EvidenceCodec.h>
+#include <LibWire/LeaseCodec.h>
+#include <LibWire/LedgerCodec.h>
+#include <LibWire/MembershipCodec.h>
+#include <LibWire/ReplicationCodec.h>
+
+namespace jaybridge {
+
+Status PeerLink::start(PeerTransportOptions Options) {
+  PeerTransport::Sinks Sinks;
+  Sinks.Received_ = [this](Envelope Received) { receive(Received); };
+  Sinks.Lost_ = Sinks_.Lost_;
+  JAYBRIDGE_TRY(Transport_,
+                PeerTransport::create(std::move(Options), std::move(Sinks)));
+  return success();
+}
+
+void PeerLink::stop() {
+  if (Transport_)
+    Transport_->stop();
+}
+
+template <typename Message, typename Encode>
+bool PeerLink::deliver(const MemberId &To, const Message &Sent,
+                       const std::function<void(MemberId, Message)> &Local,
+                       MessageKind Kind, Encode Encoder) {
+  if (To == Self_) {
+    if (IsDelivering_)
+      Local(Self_, Sent);
+    return true;
+  }
+  return Transport_->send(To, Kind, Encoder(Sent)) == SendResult::Queued;
+}
+
+bool PeerLink::send(const MemberId &To, const ReplicationMessage &Message) {
+  return deliver(To, Message, Sinks_.Replication_, MessageKind::Replication,
+                 encodeReplicationMessage);
+}
+
+bool PeerLink::send(const MemberId &To, const ConfigurationMessage &Message) {
+  return deliver(To, Message, Sinks_.Configuration_, MessageKind::Configuration,
+                 encodeConfigurationMessage);
+}
+
+bool PeerLink::send(const MemberId &To, const MembershipMessage &Message) {
+  return deliver(To, Message, Sinks_.Membership_, MessageKind::Membership,
+                 encodeMembershipMessage);
+}
+
+bool PeerLink::send(const Endpoint &To, const MembershipMessage &Message) {
+  return Transport_->send(To, MessageKind::Membership,
+                          encodeMembershipMessage(Message)) ==
+         SendResult::Queued;
+}
+
+bool PeerLink::send(const MemberId &To, const DirectoryMessage &Message) {
+  return deliver(To, Message, Sinks_.Directory_, MessageKind::Directory,
+                 encodeDirectoryMessage);
+}
+
+bool PeerLink::send(const MemberId &To, const SpreadMessage &Message) {
+  return deliver(To, Message, Sinks_.Spread_, MessageKind::Spread,
+                 encodeSpreadMessage);
+}
+
+bool PeerLink::send(const MemberId &To, const LeaseMessage &Message) {
+  return deliver(To, Message, Sinks_.Lease_, MessageKind::Lease,
+                 encodeLeaseMessage);
+}
+
+bool PeerLink::send(const MemberId &To, const EvidenceReport &Message) {
+  return deliver(To, Message, Sinks_.Evidence_, MessageKind::Evidence,
+                 encodeEvidenceReport);
+}
+
+bool PeerLink::send(const MemberId &To, const EjectionAnswer &Message) {
+  return deliver(To, Message, Sinks_.Ejections_, MessageKind::EjectionAnswer,
+                 encodeEjectionAnswer);
+}
+
+bool PeerLink::send(const MemberId &To, const LedgerRequest &Message) {
+  return deliver(To, Message, Sinks_.LedgerRequest_, MessageKind::Ledger,
+                 encodeLedgerRequest);
+}
+
+bool PeerLink::send(const MemberId &To, const LedgerReply &Message) {
+  return deliver(To, Message, Sinks_.LedgerReply_, MessageKind::LedgerReply,
+                 encodeLedgerReply);
+}
+
+bool PeerLink::send(const MemberId &To, const ForwardMessage &Message) {
+  return deliver(To, Message, Sinks_.Forward_, MessageKind::Forward,
+                 [](const ForwardMessage &Sent) {
+                   return encodeForward(Sent, monotonicNow());
+                 });
+}
+
+bool PeerLink::send(const MemberId &To, const TraceMessage &Message) {
+  return deliver(To, Message, Sinks_.Trace_, MessageKind::Trace,
+                 encodeTraceMessage);
+}
+
+template <typename Message>
+void PeerLink::receive(const MemberId &From, Result<Message> Decoded,
+                       const std::function<void(MemberId, Message)> &Sink) {
+  if (Decoded)
+    Sink(From, Decoded.takeValue());
+  else
+    ++Damaged_;
+}
+
+void PeerLink::receive(const Envelope &Received) {
+  if (!IsDelivering_)
+    return;
+  const std::string &Payload = Received.Payload_;
+  const MemberId &From = Received.Sender_;
+  switch (Received.Kind_) {
+  case MessageKind::Replication:
+    return receive(From, decodeReplicationMessage(Payload),
+                   Sinks_.Replication_);
+  case MessageKind::Configuration:
+    return receive(From, decodeConfigurationMessage(Payload),
+                   Sinks_.Configuration_);
+  case MessageKind::Membership:
+    return receive(From, decodeMembershipMessage(Payload), Sinks_.Membership_);
+  case MessageKind::Directory:
+    return receive(From, decodeDirectoryMessage(Payload), Sinks_.Directory_);
+  case MessageKind::Spread:
+    return receive(From, decodeSpreadMessage(Payload), Sinks_.Spread_);
+  case MessageKind::Lease:
+    return receive(From, decodeLeaseMessage(Payload), Sinks_.Lease_);
+  case MessageKind::Evidence:
+    return receive(From, decodeEvidenceReport(Payload), Sinks_.Evidence_);
+  case MessageKind::EjectionAnswer:
+    return receive(From, decodeEjectionAnswer(Payload), Sinks_.Ejections_);
+  case MessageKind::Ledger:
+    return receive(From, decodeLedgerRequest(Payload), Sinks_.LedgerRequest_);
+  case MessageKind::LedgerReply:
+    return receive(From, decodeLedgerReply(Payload), Sinks_.LedgerReply_);
+  case MessageKind::Forward:
+    return receive(From, decodeForward(Payload, monotonicNow()),
+                   Sinks_.Forward_);
+  case MessageKind::Trace:
+    return receive(From, decodeTraceMessage(Payload), Sinks_.Trace_);
+  }
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Services/jaybridged/WireConfiguration.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibWire/ConfigurationCodec.h>
+
+namespace jaybridge {
+
+/// The encoding of the configuration between daemons and on disk.
+struct WireConfiguration {
+  static std::string encode(const ConfigurationChange &Change) {
+    return encodeConfigurationChange(Change);
+  }
+  static std::string encode(const ConfigurationSnapshot &Snapshot) {
+    return encodeConfigurationSnapshot(Snapshot);
+  }
+  static Result<ConfigurationChange> decodeChange(const std::string &Text) {
+    return decodeConfigurationChange(Text);
+  }
+  static Result<ConfigurationSnapshot> decodeSnapshot(const std::string &Text) {
+    return decodeConfigurationSnapshot(Text);
+  }
+};
+
+} // namespace jaybridge
--- a/Utilities/jaybridge/Commands.cpp
+++ b/Utilities/jaybridge/Commands.cpp
@@ -2,8 +2,10 @@
 
 #include <Table.h>
 
+#include <chrono>
 #include <cstdio>
 #include <functional>
+#include <random>
 
 namespace jaybridge {
 
@@ -167,9 +169,9 @@
 ExitCode showStatus(const Options &Given, const OperatorClient &Client) {
   return show(Given, Client.get("/v1/status"), [](const Json &Body) {
     print("configuration version " + cell(Body, "configuration_version") +
-          ", control leader " + cell(Body, "control_leader") + "\n\n");
+          " in force at " + cell(Body, "member") + "\n\n");
     rowsPrinter("members", {"id", "failure_domain", "state", "control",
-                            "configuration_version", "lag_ms"})(Body);
+                            "configuration_version", "versions_behind"})(Body);
     print("\n");
     rowsPrinter("services", {"service", "profile", "serving", "draining",
                              "ejected", "floor_percent"})(Body);
@@ -232,11 +234,29 @@
          "  status\n"
          "  audit [--since MS] [--service NAME] [--kind KIND]\n"
          "  trace REQUEST_ID\n"
+         "  key                   prints a new idempotency key (UUID version "
+         "7)\n"
          "Each flag can also be set as JAYBRIDGE_FLAG in the environment.\n"
          "Exit codes: 0 done, 1 failure, 2 usage, 3 conflict, 4 unavailable,\n"
          "5 not found, 6 invalid.";
 }
 
+std::string newIdempotencyKey() {
+  constexpr std::uint64_t TimeMask = 0xffffffffffff;
+  std::random_device Device;
+  auto Milliseconds = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  char Text[40];
+  std::snprintf(
+      Text, sizeof(Text), "%08llx-%04llx-7%03x-%04x-%04x%08x",
+      static_cast<unsigned long long>((Milliseconds & TimeMask) >> 16),
+      static_cast<unsigned long long>(Milliseconds & 0xffff), Device() & 0xfff,
+      (Device() & 0x3fff) | 0x8000, Device() & 0xffff, Device());
+  return Text;
+}
+
 ExitCode runCommand(const Options &Given, const OperatorClient &Client) {
   for (const Command &Candidate : Commands)
     if (matches(Candidate, Given.Words_))
--- a/Utilities/jaybridge/main.cpp
+++ b/Utilities/jaybridge/main.cpp
@@ -95,6 +95,10 @@
 }
 
 int run(int Count, char **Words) {
+  if (Count == 2 && std::string(Words[1]) == "key") {
+    std::puts(newIdempotencyKey().c_str());
+    return static_cast<int>(ExitCode::Success);
+  }
   auto Given = readOptions(Count, Words);
   if (!Given) {
     std::fprintf(stderr, "jaybridge: --daemon: %s\n",
