LibStorage: Keep the writes of a replicated log in a data folder

Cause: log, codec and folder were tested apart; nothing joined them. The codec is a concept, so storage does not depend on messages. Three more single steps are tested: reads before a commit of the own term, rounds of earlier terms, and pre-votes while a leader is heard.

--- a/Libraries/LibWire/ReplicationCodec.h
+++ b/Libraries/LibWire/ReplicationCodec.h
@@ -17,4 +17,14 @@
 std::string encodePersistLog(const PersistLog &Write);
 Result<PersistLog> decodePersistLog(std::string_view Encoded);
 
+/// The same for a ReplicationStore.
+struct PersistLogWireCodec {
+  static std::string encode(const PersistLog &Write) {
+    return encodePersistLog(Write);
+  }
+  static Result<PersistLog> decode(std::string_view Record) {
+    return decodePersistLog(Record);
+  }
+};
+
 } // namespace jaybridge
--- a/Tests/LibReplication/TestReplicatedLogSteps.cpp
+++ b/Tests/LibReplication/TestReplicatedLogSteps.cpp
@@ -165,6 +165,53 @@
   EXPECT_TRUE(Log_->entries().isEmpty());
 }
 
+// Guards against a read that misses what an earlier leader committed: before an
+// entry of its own term is committed, a leader does not know.
+TEST_F(ReplicatedLogStepsTest, ReadsWaitForACommitOfTheOwnTerm) {
+  lead();
+  // Four requests were sent before it; the next two confirm the read.
+  give(ReadIndex{ReadId(1)});
+  receive(1, AppendAnswer{true, LogIndex(2), ReplicationRound(6)});
+  auto IsRead = [](const auto &Each) {
+    return std::holds_alternative<ReadAnswer>(Each);
+  };
+  EXPECT_EQ(std::count_if(Seen_.begin(), Seen_.end(), IsRead), 0);
+  receive(1, AppendAnswer{true, LogIndex(3), ReplicationRound(6)});
+  EXPECT_EQ(std::count_if(Seen_.begin(), Seen_.end(), IsRead), 1);
+}
+
+// Guards against an answer to a request of an earlier term that confirms a read
+// of the present term.
+TEST_F(ReplicatedLogStepsTest, AnswersOfEarlierTermsCarryNoRound) {
+  makeWithCommand();
+  give(ReplicationMessage{
+      voter(1), Term(1),
+      AppendRequest{
+          LogIndex(1), Term(1), {}, LogIndex(1), ReplicationRound(50)}});
+  const auto *Sent = std::get_if<SendReplication>(&Seen_.back());
+  ASSERT_NE(Sent, nullptr);
+  EXPECT_EQ(std::get<AppendAnswer>(Sent->Message_.Body_).Round_,
+            ReplicationRound());
+}
+
+// Guards against a member with a broken link that deposes a leader which the
+// others hear.
+TEST_F(ReplicatedLogStepsTest, KeepsTheLeaderThatItHears) {
+  makeWithCommand();
+  give(ReplicationMessage{
+      voter(1), Term(2),
+      AppendRequest{
+          LogIndex(2), Term(2), {}, LogIndex(1), ReplicationRound(1)}});
+  for (bool IsPreVote : {true, false}) {
+    give(ReplicationMessage{voter(2), Term(9),
+                            VoteRequest{IsPreVote, LogIndex(9), Term(9)}});
+    const auto *Sent = std::get_if<SendReplication>(&Seen_.back());
+    ASSERT_NE(Sent, nullptr);
+    EXPECT_FALSE(std::get<VoteAnswer>(Sent->Message_.Body_).IsGranted_);
+    EXPECT_EQ(Log_->term(), Term(2));
+  }
+}
+
 // Guards against changes that fill the memory while no majority answers.
 TEST_F(ReplicatedLogStepsTest, BoundsWhatIsPending) {
   lead();
--- /dev/null
+++ b/Tests/LibStorage/TestReplicationStore.cpp
@@ -0,0 +1,116 @@
+#include "FaultyFiles.h"
+
+#include <LibReplication/ReplicatedLog.h>
+#include <LibStorage/ReplicationStore.h>
+#include <LibWire/ReplicationCodec.h>
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+
+namespace jaybridge {
+namespace {
+
+using Store = ReplicationStore<FaultyFiles, PersistLogWireCodec>;
+
+/// A log with one voter over a real data folder.
+class ReplicationStoreTest : public testing::Test {
+protected:
+  void SetUp() override {
+    std::string Template = testing::TempDir() + "jaybridge-store-XXXXXX";
+    ASSERT_NE(::mkdtemp(Template.data()), nullptr);
+    Parent_ = Template;
+    start();
+  }
+  void TearDown() override { std::filesystem::remove_all(Parent_); }
+
+  void start() {
+    Log_.reset();
+    Store_.reset();
+    State_.clear();
+    auto Opened = Store::open(FaultyFiles(Faults_), Parent_ + "/data",
+                              FolderGeneration(++Generations_));
+    ASSERT_TRUE(Opened) << Opened.error().Message_;
+    Store_.emplace(Opened.takeValue());
+    ReplicationSettings Settings;
+    Settings.Self_ = MemberId("vm-0");
+    Settings.SnapshotEvery_ = 16;
+    auto Created = ReplicatedLog::create(Settings, Store_->takeRecovered(),
+                                         RandomSeed(1), Now_);
+    ASSERT_TRUE(Created) << Created.error().Message_;
+    Log_.emplace(Created.takeValue());
+    for (int I = 0; I < 20; ++I) {
+      Now_ += std::chrono::milliseconds(100);
+      ReplicatedLog::Effects Effects;
+      Log_->advance(Now_, Effects);
+      perform(std::move(Effects));
+    }
+  }
+  void give(const ReplicationEvent &Event) {
+    ReplicatedLog::Effects Effects;
+    Log_->handle(Event, Now_, Effects);
+    perform(std::move(Effects));
+  }
+  void perform(ReplicatedLog::Effects Effects) {
+    for (ReplicationEffect &Each : Effects) {
+      if (auto *Write = std::get_if<PersistLog>(&Each))
+        give(Store_->write({Write, 1}));
+      else if (auto *Commit = std::get_if<CommitCommand>(&Each))
+        State_ += Commit->Payload_;
+      else if (auto *Install = std::get_if<InstallSnapshot>(&Each))
+        State_ = Install->State_;
+      else if (auto *Take = std::get_if<TakeSnapshot>(&Each))
+        give(SnapshotTaken{Take->Index_, State_});
+      else if (auto *Answer = std::get_if<ProposalAnswer>(&Each))
+        IsAccepted_ = Answer->Answer_.hasValue();
+    }
+  }
+  void propose(const std::string &Payload) {
+    IsAccepted_ = false;
+    give(Propose{ProposalId(1), Payload});
+  }
+
+  std::shared_ptr<FileFaults> Faults_ = std::make_shared<FileFaults>();
+  std::string Parent_;
+  std::uint64_t Generations_ = 0;
+  TimePoint Now_{};
+  std::optional<Store> Store_;
+  std::optional<ReplicatedLog> Log_;
+  std::string State_;
+  bool IsAccepted_ = false;
+};
+
+// Guards against accepted changes that are gone after restarts, with and
+// without snapshots between them.
+TEST_F(ReplicationStoreTest, KeepsAcceptedChangesOverRestarts) {
+  std::string Expected;
+  for (int I = 0; I < 60; ++I) {
+    std::string Payload = std::to_string(I) + ";";
+    propose(Payload);
+    ASSERT_TRUE(IsAccepted_);
+    Expected += Payload;
+    if (I % 13 == 0)
+      start();
+    ASSERT_EQ(State_, Expected);
+  }
+  EXPECT_TRUE(Log_->entries().snapshot());
+}
+
+// Guards against a change that is accepted although the disk is full, and
+// against a member that cannot start after it.
+TEST_F(ReplicationStoreTest, RefusesChangesOnAFullDiskAndRecovers) {
+  propose("kept;");
+  ASSERT_TRUE(IsAccepted_);
+  Faults_->FreeBytes_ = 10;
+  propose("refused;");
+  EXPECT_FALSE(IsAccepted_);
+  EXPECT_TRUE(Log_->isStopped());
+  *Faults_ = FileFaults{};
+  start();
+  EXPECT_EQ(State_, "kept;");
+  propose("later;");
+  EXPECT_TRUE(IsAccepted_);
+}
+
+} // namespace
+} // namespace jaybridge
