LibReplication: Ask to be called at once after creation

Cause: the deadline after creation was the least TimePoint, which overflows when it is converted to the nanoseconds of the process's clock, so a recovered state could be announced only at the next event. Change: the deadline is the time of creation.

--- a/Libraries/LibReplication/ReplicatedLog.cpp
+++ b/Libraries/LibReplication/ReplicatedLog.cpp
@@ -77,8 +77,9 @@
 std::optional<TimePoint> ReplicatedLog::nextDeadline() const {
   if (IsStopped_)
     return std::nullopt;
+  // Still the time of creation: the recovered state is announced at once.
   if (!IsRecoveryAnnounced_)
-    return TimePoint::min();
+    return NextJoinRequest_;
   TimePoint Next = isLeader() ? NextHeartbeat_ : ElectionDeadline_;
   if (needsToJoin())
     Next = std::min(Next, NextJoinRequest_);
--- a/Tests/LibReplication/TestReplicatedLogSteps.cpp
+++ b/Tests/LibReplication/TestReplicatedLogSteps.cpp
@@ -88,6 +88,16 @@
   EXPECT_EQ(Log_->commitIndex(), LogIndex(3));
 }
 
+// Guards against a recovered state that is announced only at the next event, or
+// a deadline outside the range of the process's clock.
+TEST_F(ReplicatedLogStepsTest, WantsToBeCalledAtOnceAfterItsCreation) {
+  Now_ += std::chrono::hours(9);
+  makeWithCommand();
+  EXPECT_EQ(Log_->nextDeadline(), Now_);
+  wait(Duration(0));
+  EXPECT_GT(Log_->nextDeadline(), Now_);
+}
+
 // Guards against a vote that is sent before it is synced and could be given
 // again to another candidate after a restart.
 TEST_F(ReplicatedLogStepsTest, VotesOnlyAfterTheSync) {
