--- a/Libraries/LibDirectory/DirectoryRepair.cpp
+++ b/Libraries/LibDirectory/DirectoryRepair.cpp
@@ -171,7 +171,7 @@
   if (!Leases_.has(Got.Key_) || !Registrars_.isRegistrar(From, Leaf))
     return;
   if (Got.IsHeld_)
-    Leases_.renew(Got.Key_, Now);
+    Leases_.relyOnOther(Got.Key_, Now);
   else if (!Leases_.isHeld(Got.Key_, Now))
     lapse(Got.Key_, Now, Out);
 }
--- a/Libraries/LibDirectory/InstanceDirectory.cpp
+++ b/Libraries/LibDirectory/InstanceDirectory.cpp
@@ -19,6 +19,8 @@
   Own.Id_ = Self_;
   Own.Domain_ = Domain_;
   Homes_.apply(Own);
+  // Answers to the earlier run of a restarted daemon must not be counted.
+  Round_ = DigestRound(Numbers_.next() / 2);
 }
 
 void InstanceDirectory::handle(const Event &Happened, TimePoint Now,
--- a/Libraries/LibDirectory/InstanceDirectory.h
+++ b/Libraries/LibDirectory/InstanceDirectory.h
@@ -15,6 +15,7 @@
   MemberId Self_;
   FailureDomain Domain_;
   HomeCount HomesPerFailureDomain_{1};
+  /// Different in each run of the daemon.
   RandomSeed Seed_;
 };
 
--- a/Libraries/LibDirectory/LeaseTable.cpp
+++ b/Libraries/LibDirectory/LeaseTable.cpp
@@ -1,5 +1,7 @@
 #include <LibDirectory/LeaseTable.h>
 
+#include <algorithm>
+
 namespace jaybridge {
 
 bool LeaseTable::renew(RecordKey Key, TimePoint Now) {
@@ -19,7 +21,12 @@
 void LeaseTable::extendAll(TimePoint Now) {
   for (auto &[Key, Each] : Leases_)
     if (Each.DueAt_ < Now + Grace)
-      Each = {Now + Grace, 0};
+      Each = {Now + Grace, std::min<std::size_t>(Each.Questions_, 1)};
+}
+
+void LeaseTable::relyOnOther(RecordKey Key, TimePoint Now) {
+  if (auto Found = Leases_.find(Key); Found != Leases_.end())
+    Found->second = {Now + AnswerTimeout, 1};
 }
 
 std::vector<std::pair<RecordKey, LapseStep>>
--- a/Libraries/LibDirectory/LeaseTable.h
+++ b/Libraries/LibDirectory/LeaseTable.h
@@ -29,6 +29,9 @@
   void end(RecordKey Key) { Leases_.erase(Key); }
   bool has(RecordKey Key) const { return Leases_.contains(Key); }
   bool isHeld(RecordKey Key, TimePoint Now) const;
+  /// The other registrar holds the lease. This one asks again and does not
+  /// count as a holder, or two registrars would confirm each other for ever.
+  void relyOnOther(RecordKey Key, TimePoint Now);
   /// Leaves every lease at least `Grace`.
   void extendAll(TimePoint Now);
 
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -22,6 +22,8 @@
       Numbers_(Draft.Seed_) {
   std::erase(Seeds_, Self_.Address_);
   enqueue(Self_);
+  // Answers to the earlier run of a restarted daemon must not be counted.
+  LastProbe_ = ProbeNumber(Numbers_.next() / 2);
 }
 
 void Membership::handle(const Event &Happened, TimePoint Now, Effects &Out) {
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -10,6 +10,7 @@
   /// The own record; its incarnation must exceed that of earlier runs.
   MemberRecord Self_;
   std::vector<Endpoint> Seeds_;
+  /// Different in each run of the daemon.
   RandomSeed Seed_;
 };
 
