--- a/Libraries/LibCore/Identifier.h
+++ b/Libraries/LibCore/Identifier.h
@@ -20,8 +20,7 @@
   friend bool operator==(const Identifier &Left, const Identifier &Right) {
     return Left.Text_ == Right.Text_;
   }
-  friend std::strong_ordering operator<=>(const Identifier &Left,
-                                          const Identifier &Right) {
+  friend auto operator<=>(const Identifier &Left, const Identifier &Right) {
     return Left.Text_ <=> Right.Text_;
   }
 
--- /dev/null
+++ b/Libraries/LibHTTP/RequestIdGenerator.cpp
@@ -0,0 +1,40 @@
+#include <LibHTTP/RequestIdGenerator.h>
+
+#include <charconv>
+
+namespace jaybridge {
+
+namespace {
+
+std::string hexadecimal(std::uint64_t Value) {
+  char Digits[16];
+  auto [End, Failure] =
+      std::to_chars(Digits, Digits + sizeof(Digits), Value, 16);
+  return std::string(Digits, End);
+}
+
+} // namespace
+
+RequestIdGenerator::RequestIdGenerator(const MemberId &Member,
+                                       WallTime StartedAt)
+    : Prefix_(Member.text() + "-" +
+              hexadecimal(static_cast<std::uint64_t>(
+                  StartedAt.time_since_epoch().count())) +
+              "-") {}
+
+RequestId RequestIdGenerator::next() {
+  return RequestId(Prefix_ + hexadecimal(++Last_));
+}
+
+MemberId memberOf(const RequestId &Id) {
+  const std::string &Text = Id.text();
+  std::size_t Counter = Text.rfind('-');
+  if (Counter == std::string::npos || Counter == 0)
+    return MemberId();
+  std::size_t Start = Text.rfind('-', Counter - 1);
+  if (Start == std::string::npos)
+    return MemberId();
+  return MemberId(Text.substr(0, Start));
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibCore/Units.h>
+
+namespace jaybridge {
+
+/// Bounds retries and hedges of a service to a share of its first attempts and
+/// a small reserve. Each gateway keeps the bound alone, so the fleet keeps the
+/// sum without messages.
+class RetryBudget {
+public:
+  /// Retries permitted before the first attempts have paid for any.
+  static constexpr EventCount Reserve{10};
+  /// Unused share is kept up to this many retries.
+  static constexpr EventCount Greatest{100};
+
+  explicit RetryBudget(Percentage Share);
+
+  /// A share of 0 permits none. The balance stays within the bounds.
+  void setShare(Percentage Share);
+  void depositFirstAttempt();
+  /// Takes one retry; false when none is left.
+  bool withdrawRetry();
+  /// Takes one hedge; false when only the reserve is left. A hedge saves time,
+  /// a retry saves the request, so hedges must not use up the retries.
+  bool withdrawHedge();
+
+private:
+  bool withdraw(EventCount Kept);
+
+  Percentage Share_;
+  /// In hundredths of a retry.
+  EventCount Balance_;
+};
+
+} // namespace jaybridge
