--- a/Libraries/LibDetection/EvidenceReporter.cpp
+++ b/Libraries/LibDetection/EvidenceReporter.cpp
@@ -62,6 +62,7 @@
     For.ReportAt_ =
         std::min(For.ReportAt_,
                  std::max(Now, For.LastSentAt_ + Settings_.UrgentInterval_));
+  schedule(For.ReportAt_);
 }
 
 void EvidenceReporter::collect(Service &For, const AttemptObserved &Seen) {
@@ -117,6 +118,7 @@
   For.Sent_.erase(For.Sent_.begin(), Matching);
   For.Ejected_ = Received.Ejected_;
   For.ValidUntil_ = ValidUntil;
+  schedule(ValidUntil);
   For.Suspected_ = {Received.Suspected_.begin(), Received.Suspected_.end()};
   Effects.push_back(
       EjectionsApplied{Received.Service_, Received.Ejected_, ValidUntil});
@@ -130,6 +132,7 @@
   for (Fingerprint Each : Received.Quarantined_) {
     IsChanged |= !Quarantined_.contains(Each);
     Quarantined_[Each] = ValidUntil;
+    schedule(ValidUntil);
   }
   if (IsChanged)
     announceQuarantine(Effects);
@@ -143,6 +146,8 @@
 }
 
 void EvidenceReporter::advance(TimePoint Now, std::vector<Effect> &Effects) {
+  if (!Next_ || Now < *Next_)
+    return;
   for (auto &[Name, For] : Services_) {
     if (For.ValidUntil_ && *For.ValidUntil_ <= Now) {
       Effects.push_back(EjectionsApplied{Name, {}, Now});
@@ -189,19 +194,15 @@
   Effects.push_back(SendReport{std::move(Report)});
 }
 
-std::optional<TimePoint> EvidenceReporter::nextDeadline() const {
-  std::optional<TimePoint> Earliest;
-  auto Consider = [&](TimePoint At) {
-    Earliest = Earliest ? std::min(*Earliest, At) : At;
-  };
+void EvidenceReporter::scheduleAll() {
+  Next_.reset();
   for (const auto &[Name, For] : Services_) {
-    Consider(For.ReportAt_);
+    schedule(For.ReportAt_);
     if (For.ValidUntil_)
-      Consider(*For.ValidUntil_);
+      schedule(*For.ValidUntil_);
   }
   for (const auto &[Each, ValidUntil] : Quarantined_)
-    Consider(ValidUntil);
-  return Earliest;
+    schedule(ValidUntil);
 }
 
 } // namespace jaybridge
--- a/Libraries/LibDetection/EvidenceReporter.h
+++ b/Libraries/LibDetection/EvidenceReporter.h
@@ -79,7 +79,7 @@
   void handle(const Event &Received, TimePoint Now,
               std::vector<Effect> &Effects);
   void advance(TimePoint Now, std::vector<Effect> &Effects);
-  std::optional<TimePoint> nextDeadline() const;
+  std::optional<TimePoint> nextDeadline() const { return Next_; }
 
   /// Observations beyond the bounds above.
   EventCount dropped() const { return Dropped_; }
@@ -110,6 +110,8 @@
     std::optional<TimePoint> ValidUntil_;
   };
 
+  void schedule(TimePoint At) { Next_ = std::min(Next_.value_or(At), At); }
+  void scheduleAll();
   void observe(const AttemptObserved &Seen, TimePoint Now);
   void collect(Service &For, const AttemptObserved &Seen);
   void apply(const EjectionAnswer &Received, TimePoint Now,
@@ -124,6 +126,8 @@
   ReportNumber Last_;
   std::map<ServiceName, Service> Services_;
   std::map<Fingerprint, TimePoint> Quarantined_;
+  /// Not after the earliest timer, so that most events look at one service.
+  std::optional<TimePoint> Next_;
   EventCount Dropped_;
 };
 
--- a/Tests/LibDetection/TestEjectionAuthority.cpp
+++ b/Tests/LibDetection/TestEjectionAuthority.cpp
@@ -56,6 +56,11 @@
     Authority_.handle(Pool, Now_, Effects_);
   }
 
+  void win() {
+    Authority_.handle(AuthorityWon{FenceNumber(1), TimePoint::max()}, Now_,
+                      Effects_);
+  }
+
   /// Reports of four gateways every 100 ms; the first Bad instances fail.
   void run(Duration Length, std::size_t Bad) {
     for (TimePoint End = Now_ + Length; Now_ < End;) {
@@ -102,8 +107,7 @@
 
 // Guards against a floor that two authorities cross together at a takeover.
 TEST_F(AuthorityTest, EjectsNothingBeforeEarlierListsExpired) {
-  Authority_.handle(AuthorityWon{FenceNumber(1), TimePoint::max()}, Now_,
-                    Effects_);
+  win();
   run(EjectionTerm - 100ms, 1);
   EXPECT_EQ(inForce(), 0U);
   run(1s, 1);
@@ -130,8 +134,7 @@
 
 // Guards against ejections below the floor when many instances fail at once.
 TEST_F(AuthorityTest, KeepsTheFloorAndSaysSo) {
-  Authority_.handle(AuthorityWon{FenceNumber(1), TimePoint::max()}, Now_,
-                    Effects_);
+  win();
   run(4s, 4);
   EXPECT_EQ(inForce(), 3U);
   EXPECT_EQ(acts(EjectionActKind::KeptForFloor), 1U);
@@ -142,8 +145,7 @@
 // Guards against instances that never come back, and against ejections of the
 // same length for an instance that flaps.
 TEST_F(AuthorityTest, ReturnsGraduallyAndDoublesWhenFlapping) {
-  Authority_.handle(AuthorityWon{FenceNumber(1), TimePoint::max()}, Now_,
-                    Effects_);
+  win();
   run(3s, 1);
   ASSERT_EQ(inForce(), 1U);
   run(10s, 0);
@@ -160,13 +162,35 @@
 
 // Guards against an instance that is reinstated while it still fails.
 TEST_F(AuthorityTest, EjectsAgainDuringReturn) {
-  Authority_.handle(AuthorityWon{FenceNumber(1), TimePoint::max()}, Now_,
-                    Effects_);
+  win();
   run(10s, 1);
   EXPECT_EQ(acts(EjectionActKind::EjectedAgain), 1U);
   EXPECT_EQ(acts(EjectionActKind::Reinstated), 0U);
 }
 
+// Guards against blame on instances that one request crashes: it is resent to
+// each of them, and each loses the connection four times a round.
+TEST_F(AuthorityTest, BlamesTheRequestForItsCrashes) {
+  win();
+  run(3s, 0);
+  Effects_.clear();
+  for (int Round = 0; Round < 200; ++Round) {
+    EvidenceReport Report{MemberId("g" + std::to_string(Round % 4)),
+                          Service_,
+                          ReportNumber(++Reports_),
+                          {},
+                          {},
+                          {}};
+    Report.Crashes_.push_back({instance(Round % 2), Fingerprint(666)});
+    Authority_.handle(Report, Now_, Effects_);
+    if (Round % 4 == 3)
+      run(100ms, 0);
+  }
+  const auto &Last = std::get<EjectionAnswer>(Effects_.back());
+  EXPECT_EQ(Last.Quarantined_, std::vector{Fingerprint(666)});
+  EXPECT_EQ(inForce(), 0U);
+}
+
 struct AnswerCase {
   const char *Name_;
   /// Position of the report that the answer names, 0 for none.
--- a/Tests/LibLedger/TestLedgerReplica.cpp
+++ b/Tests/LibLedger/TestLedgerReplica.cpp
@@ -4,29 +4,22 @@
 
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 namespace jaybridge {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-enum class Step { Claim, Release, Finish };
-
-struct Action {
-  Step Step_;
-  const char *Gateway_;
-  Duration At_;
-};
-
 struct ReplicaCase {
   const char *Name_;
-  /// When the key was created, relative to the replica's start.
-  Duration CreatedAt_;
-  std::vector<Action> Before_;
-  Duration ClaimedAt_;
-  /// Verdict for gateway "b": accepted, held, overdue, finished or the reason
-  /// for abstaining.
+  /// When the key was created, in seconds after the replica's start.
+  int CreatedAt_;
+  /// Messages before: C(laim), R(elease) or F(inish), gateway, seconds.
+  const char *Before_;
+  int ClaimedAt_;
+  /// Verdict for a claim of gateway "b" that then arrives.
   const char *Verdict_;
 };
 
@@ -52,114 +45,49 @@
 // key be blocked for nobody.
 TEST_P(LedgerReplicaTest, AnswersSecondClaim) {
   auto Replica = LedgerReplica::create({}, Epoch).takeValue();
-  IdempotencyKey Key = keyCreatedAt(wallAt(GetParam().CreatedAt_));
-  for (const Action &Each : GetParam().Before_) {
-    ClaimId Id = claimOf(Each.Gateway_, 1);
-    WallTime At = wallAt(Each.At_);
-    if (Each.Step_ == Step::Claim)
-      Replica.claim(Claim{Key, Id, Fingerprint(7), seconds(2)}, At);
-    if (Each.Step_ == Step::Release)
-      Replica.release(Release{Key, Id}, At);
-    if (Each.Step_ == Step::Finish)
-      Replica.finish(Finish{Key, Id, Fingerprint(7), answerWith("x")}, At);
+  IdempotencyKey Key = keyCreatedAt(wallAt(seconds(GetParam().CreatedAt_)));
+  std::istringstream Script(GetParam().Before_);
+  char Kind = 0;
+  char Gateway = 0;
+  int At = 0;
+  while (Script >> Kind >> Gateway >> At) {
+    ClaimId Id = claimOf(std::string(1, Gateway).c_str(), 1);
+    LedgerRequest Sent = Claim{Key, Id, Fingerprint(7), seconds(2)};
+    if (Kind == 'R')
+      Sent = Release{Key, Id};
+    if (Kind == 'F')
+      Sent = Finish{Key, Id, Fingerprint(7), answerWith("x")};
+    Replica.handle(Sent, wallAt(seconds(At)));
   }
   auto Answered =
       Replica.claim(Claim{Key, claimOf("b", 1), Fingerprint(7), seconds(2)},
-                    wallAt(GetParam().ClaimedAt_));
+                    wallAt(seconds(GetParam().ClaimedAt_)));
   EXPECT_EQ(nameOf(Answered.Verdict_), GetParam().Verdict_);
 }
 
+using Row = ReplicaCase;
 INSTANTIATE_TEST_SUITE_P(
     Traces, LedgerReplicaTest,
     testing::Values(
-        ReplicaCase{"Fresh", minutes(1), {}, minutes(1), "accepted"},
-        ReplicaCase{
-            "CreatedBeforeRestart", seconds(0), {}, seconds(31), "restarted"},
-        ReplicaCase{"CreatedWithinToleranceOfRestart",
-                    seconds(30),
-                    {},
-                    seconds(30),
-                    "restarted"},
-        ReplicaCase{"FromFuture", minutes(2), {}, minutes(1), "from-future"},
-        ReplicaCase{"Expired", minutes(1), {}, minutes(11), "expired"},
-        ReplicaCase{"DuplicateOfOwnClaim",
-                    minutes(1),
-                    {{Step::Claim, "b", minutes(1)}},
-                    minutes(1),
-                    "accepted"},
-        ReplicaCase{"HeldByOther",
-                    minutes(1),
-                    {{Step::Claim, "a", minutes(1)}},
-                    minutes(1),
-                    "held"},
-        ReplicaCase{"HolderSilentPastDeadline",
-                    minutes(1),
-                    {{Step::Claim, "a", minutes(1)}},
-                    minutes(1) + seconds(2),
-                    "overdue"},
-        ReplicaCase{
-            "ReleasedByHolder",
-            minutes(1),
-            {{Step::Claim, "a", minutes(1)}, {Step::Release, "a", minutes(1)}},
-            minutes(1),
-            "accepted"},
-        ReplicaCase{
-            "ReleaseOfOtherClaim",
-            minutes(1),
-            {{Step::Claim, "a", minutes(1)}, {Step::Release, "c", minutes(1)}},
-            minutes(1),
-            "held"},
-        ReplicaCase{"ReleaseOvertookOwnClaim",
-                    minutes(1),
-                    {{Step::Release, "b", minutes(1)}},
-                    minutes(1),
-                    "released"},
-        ReplicaCase{
-            "LateCopyOfReleasedClaim",
-            minutes(1),
-            {{Step::Release, "a", minutes(1)}, {Step::Claim, "a", minutes(1)}},
-            minutes(1),
-            "accepted"},
-        ReplicaCase{
-            "Finished",
-            minutes(1),
-            {{Step::Claim, "a", minutes(1)}, {Step::Finish, "a", minutes(1)}},
-            minutes(2),
-            "finished"},
-        ReplicaCase{"ReleaseAfterFinish",
-                    minutes(1),
-                    {{Step::Claim, "a", minutes(1)},
-                     {Step::Finish, "a", minutes(1)},
-                     {Step::Release, "a", minutes(1)}},
-                    minutes(2),
-                    "finished"},
-        ReplicaCase{"FinishOvertookClaim",
-                    minutes(1),
-                    {{Step::Finish, "a", minutes(1)}},
-                    minutes(2),
-                    "finished"},
-        ReplicaCase{
-            "FinishOfMajorityOverLosingClaim",
-            minutes(1),
-            {{Step::Claim, "c", minutes(1)}, {Step::Finish, "a", minutes(1)}},
-            minutes(2),
-            "finished"},
-        ReplicaCase{"FinishTaughtRestartedReplica",
-                    seconds(-5),
-                    {{Step::Finish, "a", seconds(1)}},
-                    seconds(2),
-                    "finished"},
-        ReplicaCase{"ReleaseDoesNotLiftRestart",
-                    seconds(-5),
-                    {{Step::Release, "a", seconds(1)}},
-                    seconds(2),
-                    "restarted"},
-        ReplicaCase{
-            "ClockWentBackAfterDiscard",
-            minutes(1),
-            {{Step::Claim, "a", minutes(1)}, {Step::Claim, "c", minutes(30)}},
-            minutes(1),
-            "expired"}),
+        Row{"Fresh", 60, "", 60, "accepted"},
+        Row{"CreatedBeforeRestart", 0, "", 31, "restarted"},
+        Row{"CreatedWithinTolerance", 30, "", 30, "restarted"},
+        Row{"FromFuture", 120, "", 60, "from-future"},
+        Row{"Expired", 60, "", 660, "expired"},
+        Row{"DuplicateOfOwnClaim", 60, "C b 60", 60, "accepted"},
+        Row{"HeldByOther", 60, "C a 60", 60, "held"},
+        Row{"HolderSilentPastDeadline", 60, "C a 60", 62, "overdue"},
+        Row{"ReleasedByHolder", 60, "C a 60 R a 60", 60, "accepted"},
+        Row{"ReleaseOfOtherClaim", 60, "C a 60 R c 60", 60, "held"},
+        Row{"ReleaseOvertookClaim", 60, "R b 60", 60, "released"},
+        Row{"LateCopyOfReleased", 60, "R a 60 C a 60", 60, "accepted"},
+        Row{"Finished", 60, "C a 60 F a 60", 120, "finished"},
+        Row{"ReleaseAfterFinish", 60, "C a 60 F a 60 R a 60", 120, "finished"},
+        Row{"FinishOvertookClaim", 60, "F a 60", 120, "finished"},
+        Row{"FinishOverLosingClaim", 60, "C c 60 F a 60", 120, "finished"},
+        Row{"FinishTaughtRestarted", -5, "F a 1", 2, "finished"},
+        Row{"ReleaseDoesNotLiftRestart", -5, "R a 1", 2, "restarted"},
+        Row{"ClockWentBack", 60, "C a 60 C c 1800", 60, "expired"}),
     CaseName());
 
 // Guards against records that grow without limit, and against a full replica
