LibDetection: Forget silent gateways in the authority

Cause: gateways that were gone still took part in the stages of a return and received lists, until the lease changed hands. Change: forget a gateway 15 s after its last report.

--- a/Libraries/LibDetection/EjectionAuthority.cpp
+++ b/Libraries/LibDetection/EjectionAuthority.cpp
@@ -112,8 +112,8 @@
     return;
   if (Gateways_.contains(Report.Gateway_) ||
       Gateways_.size() < EvidencePool::GreatestGatewayCount) {
-    ReportNumber &Latest = Gateways_[Report.Gateway_];
-    Latest = std::max(Latest, Report.Number_);
+    LatestReport &Latest = Gateways_[Report.Gateway_];
+    Latest = {std::max(Latest.Number_, Report.Number_), Now};
   }
   Pool_.add(Report);
   collectCrashes(Report, Now);
@@ -177,6 +177,9 @@
   Pool_.closeRound();
   std::erase_if(InForceUntil_,
                 [&](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(Gateways_, [&](const auto &Entry) {
+    return Entry.second.At_ + GatewayMemory <= Now;
+  });
   std::erase_if(Flapping_, [&](const auto &Entry) {
     return Entry.second.ForgetAt_ <= Now && !Ejections_.contains(Entry.first);
   });
@@ -187,8 +190,8 @@
   ejectWorst(Now, Effects);
   if (std::any_of(Effects.begin() + static_cast<std::ptrdiff_t>(Before),
                   Effects.end(), isEjection))
-    for (const auto &[Gateway, Number] : Gateways_)
-      answer(Gateway, Number, Now, Effects);
+    for (const auto &[Gateway, Latest] : Gateways_)
+      answer(Gateway, Latest.Number_, Now, Effects);
 }
 
 void EjectionAuthority::ejectWorst(TimePoint Now,
--- a/Libraries/LibDetection/EjectionAuthority.h
+++ b/Libraries/LibDetection/EjectionAuthority.h
@@ -85,6 +85,9 @@
   /// First ejection; doubles with each further one.
   static constexpr Duration FirstEjection = std::chrono::seconds(5);
   static constexpr Duration GreatestEjection = std::chrono::minutes(5);
+  /// A gateway without a report for this long takes no part in the stages of
+  /// a return; its lists have expired long before.
+  static constexpr Duration GatewayMemory = std::chrono::seconds(15);
   /// Earlier ejections are forgotten after this time in full use.
   static constexpr Duration FlappingMemory = std::chrono::minutes(10);
   /// A share of the gateways uses a returning instance for at least and at
@@ -121,6 +124,10 @@
     std::optional<SequentialTest> Failure_;
     std::optional<SequentialTest> Slowness_;
   };
+  struct LatestReport {
+    ReportNumber Number_;
+    TimePoint At_;
+  };
   struct Flapping {
     unsigned Count_ = 0;
     TimePoint ForgetAt_;
@@ -158,8 +165,8 @@
   std::optional<Lease> Lease_;
   EvidencePool Pool_;
   CrashQuarantine Quarantine_;
-  /// Latest report of each gateway.
-  std::map<MemberId, ReportNumber> Gateways_;
+  /// Gateways that reported lately.
+  std::map<MemberId, LatestReport> Gateways_;
   ListRevision Revision_;
   std::map<InstanceId, Ejection> Ejections_;
   /// When the last list that named an instance has expired everywhere.
