LibSettings: Name control members by id alone

Cause: control members' addresses are learnt from the fleet, and ports may be chosen by the kernel. A read waited for the index of a leader's first entry, which is no command, and was never served.

--- a/Libraries/LibControl/ConfigurationService.h
+++ b/Libraries/LibControl/ConfigurationService.h
@@ -127,7 +127,6 @@
   }
 
   void apply(CommitCommand &Committed, TimePoint, Effects &Out) {
-    AppliedIndex_ = Committed.Index_;
     auto Change = Codec::decodeChange(Committed.Payload_);
     // Payloads are checked before they are proposed.
     JAYBRIDGE_VERIFY(Change.hasValue());
@@ -146,7 +145,6 @@
       feedDamage(Catalog.error(), Now);
       return;
     }
-    AppliedIndex_ = Install.LastIndex_;
     Catalog_ = Catalog.takeValue();
     Out.emplace_back(
         CatalogInstalled{Catalog_.version(), std::move(Install.State_)});
@@ -176,7 +174,8 @@
     Asker Asked = std::move(Found->second);
     Reads_.erase(Found);
     CatalogProvided Reply{Asked.Query_, Catalog_.snapshotInForce(), {}};
-    if (!Decided.Answer_ || AppliedIndex_ < Decided.Answer_.value())
+    // The index is committed, and commands are applied as they commit.
+    if (!Decided.Answer_)
       Reply.Answer_ = Error{ErrorCode::Unavailable,
                             "this member's catalog may not be current",
                             {}};
@@ -235,7 +234,6 @@
   std::optional<ReplicatedLog> Log_;
   std::vector<ReplicationEffect> LogEffects_;
   ConfigurationCatalog Catalog_;
-  LogIndex AppliedIndex_;
   ProposalId LastProposal_;
   ReadId LastRead_;
   std::map<ProposalId, PendingChange> Changes_;
--- a/Libraries/LibLease/LeaseCandidate.cpp
+++ b/Libraries/LibLease/LeaseCandidate.cpp
@@ -6,6 +6,14 @@
 
 namespace jaybridge {
 
+namespace {
+
+std::string groupKey(std::size_t Group) {
+  return "lease-group-" + std::to_string(Group);
+}
+
+} // namespace
+
 Result<LeaseCandidate> LeaseCandidate::create(CandidateDraft Draft) {
   if (Draft.Self_.isEmpty())
     return Error{ErrorCode::Invalid, "a member needs an id", "member-id"};
@@ -229,7 +237,7 @@
   auto Earlier = std::exchange(Ranks_, {});
   for (std::size_t Group = 0; Group < GroupCount; ++Group)
     if (auto Own = Ranking_.rankOf(Self_, Candidates,
-                                   "lease-group-" + std::to_string(Group)))
+                                   groupKey(Group)))
       Ranks_[Group] = *Own;
   for (auto &[Service, At] : ClaimAt_) {
     auto Own = Ranks_.find(groupOf(Service));
@@ -245,6 +253,11 @@
   return stableHash(Service.text()) % GroupCount;
 }
 
+std::vector<MemberId>
+LeaseCandidate::candidatesFor(const ServiceName &Service) const {
+  return Ranking_.first(Candidates, groupKey(groupOf(Service)));
+}
+
 bool LeaseCandidate::isFirst(std::size_t Group) const {
   auto Found = Ranks_.find(Group);
   return Found != Ranks_.end() && Found->second == Rank(0);
--- a/Libraries/LibLease/LeaseCandidate.h
+++ b/Libraries/LibLease/LeaseCandidate.h
@@ -52,6 +52,8 @@
   void advance(TimePoint Now, std::vector<Effect> &Effects);
   std::optional<TimePoint> nextDeadline() const;
 
+  /// Members that may hold the service's lease, the likeliest first.
+  std::vector<MemberId> candidatesFor(const ServiceName &Service) const;
   bool isHolding(const ServiceName &Service, TimePoint Now) const;
   std::size_t heldCount() const { return Held_.size(); }
 
--- a/Libraries/LibSettings/Flags.cpp
+++ b/Libraries/LibSettings/Flags.cpp
@@ -15,7 +15,8 @@
               "address at which other daemons reach this one");
 DEFINE_string(seeds, "", "peer addresses of some daemons, A.B.C.D:PORT,...");
 DEFINE_string(data_folder, "", "makes this daemon a control member");
-DEFINE_string(control_members, "", "control members, ID=A.B.C.D:PORT,...");
+DEFINE_string(address_file, "", "file for the addresses in use");
+DEFINE_string(control_members, "", "ids of the control members, ID,...");
 DEFINE_string(operator_token_file, "", "file with the operators' token");
 DEFINE_string(announce_token_file, "", "file with the upstreams' token");
 DEFINE_string(peer_token_file, "", "file with the daemons' token");
@@ -39,6 +40,7 @@
                                  "seeds",
                                  "data-folder",
                                  "control-members",
+                                 "address-file",
                                  "operator-token-file",
                                  "announce-token-file",
                                  "peer-token-file",
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -80,20 +80,14 @@
     return Read;
   }
 
-  std::vector<ControlMember> controlMembers(const std::string &Flag) {
-    std::vector<ControlMember> Read;
+  std::vector<MemberId> members(const std::string &Flag) {
+    std::vector<MemberId> Read;
     for (const std::string &Each : list(Flag)) {
-      const std::size_t Equals = Each.find('=');
-      const std::string Id = Each.substr(0, Equals);
-      const bool IsKnown = std::any_of(Read.begin(), Read.end(),
-                                       [&](const ControlMember &Other) {
-                                         return Other.Id_ == MemberId(Id);
-                                       });
-      if (Equals == std::string::npos || !isName(Id) || IsKnown) {
-        fail(invalid(Flag, Each, "ID=A.B.C.D:PORT with different ids"));
-        continue;
-      }
-      Read.push_back({MemberId(Id), endpoint(Flag, Each.substr(Equals + 1))});
+      const bool IsKnown =
+          std::find(Read.begin(), Read.end(), MemberId(Each)) != Read.end();
+      if (!isName(Each) || IsKnown)
+        fail(invalid(Flag, Each, "a list of different member ids"));
+      Read.emplace_back(Each);
     }
     if (Read.size() > MostControlMembers)
       fail(invalid(Flag, text(Flag), "a list of at most 29 members"));
@@ -156,9 +150,8 @@
   if (!Read.DataFolder_)
     return;
   const auto &Members = Read.ControlMembers_;
-  const bool IsListed = std::any_of(
-      Members.begin(), Members.end(),
-      [&](const ControlMember &Each) { return Each.Id_ == Read.Member_; });
+  const bool IsListed =
+      std::find(Members.begin(), Members.end(), Read.Member_) != Members.end();
   if (!IsListed)
     From.fail(invalid("control-members", From.text("control-members"),
                       "a list that names this member when --data-folder is "
@@ -181,7 +174,7 @@
   Read.Seeds_ = From.addresses("seeds");
   if (const std::string Folder = From.text("data-folder"); !Folder.empty())
     Read.DataFolder_ = Folder;
-  Read.ControlMembers_ = From.controlMembers("control-members");
+  Read.ControlMembers_ = From.members("control-members");
   Read.OperatorTokenFile_ = From.path("operator-token-file");
   Read.AnnounceTokenFile_ = From.path("announce-token-file");
   Read.PeerTokenFile_ = From.path("peer-token-file");
@@ -189,6 +182,8 @@
   Read.AnswerLimit_ = ByteCount(From.number(AnswerRange));
   Read.QueueLimit_ =
       QueueLimit(static_cast<std::uint32_t>(From.number(QueueRange)));
+  if (const std::string File = From.text("address-file"); !File.empty())
+    Read.AddressFile_ = File;
   Read.LogLevel_ = From.logLevel("log-level");
   Read.IsCheckOnly_ = From.boolean("check-settings");
   checkControlMember(From, Read);
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -18,14 +18,6 @@
 /// Values by flag name, such as "member-id"; absent means the default.
 using SettingsText = std::map<std::string, std::string>;
 
-struct ControlMember {
-  MemberId Id_;
-  Endpoint PeerAddress_;
-
-  friend bool operator==(const ControlMember &,
-                         const ControlMember &) = default;
-};
-
 /// What a daemon is told at its start.
 struct Settings {
   MemberId Member_;
@@ -39,7 +31,8 @@
   std::vector<Endpoint> Seeds_;
   /// Set for control members.
   std::optional<std::string> DataFolder_;
-  std::vector<ControlMember> ControlMembers_;
+  /// Their addresses are learnt from the fleet.
+  std::vector<MemberId> ControlMembers_;
   std::string OperatorTokenFile_;
   std::string AnnounceTokenFile_;
   std::string PeerTokenFile_;
@@ -47,6 +40,8 @@
   ByteCount AnswerLimit_;
   QueueLimit QueueLimit_;
   LogLevel LogLevel_ = LogLevel::Info;
+  /// Where to write the addresses in use, for ports that the kernel chose.
+  std::optional<std::string> AddressFile_;
   /// The process checks the settings and ends.
   bool IsCheckOnly_ = false;
 
--- a/Services/jaybridged/PeerLink.cpp
+++ b/Services/jaybridged/PeerLink.cpp
@@ -49,28 +49,28 @@
 
 bool PeerLink::send(const MemberId &To, const MembershipMessage &Message) {
   return deliver(To, Message, Sinks_.Membership_, MessageKind::Membership,
-                 encodeMembershipMessage);
+                 encodeMembership);
 }
 
 bool PeerLink::send(const Endpoint &To, const MembershipMessage &Message) {
   return Transport_->send(To, MessageKind::Membership,
-                          encodeMembershipMessage(Message)) ==
+                          encodeMembership(Message)) ==
          SendResult::Queued;
 }
 
 bool PeerLink::send(const MemberId &To, const DirectoryMessage &Message) {
   return deliver(To, Message, Sinks_.Directory_, MessageKind::Directory,
-                 encodeDirectoryMessage);
+                 encodeDirectory);
 }
 
 bool PeerLink::send(const MemberId &To, const SpreadMessage &Message) {
   return deliver(To, Message, Sinks_.Spread_, MessageKind::Spread,
-                 encodeSpreadMessage);
+                 encodeSpread);
 }
 
 bool PeerLink::send(const MemberId &To, const LeaseMessage &Message) {
   return deliver(To, Message, Sinks_.Lease_, MessageKind::Lease,
-                 encodeLeaseMessage);
+                 encodeLease);
 }
 
 bool PeerLink::send(const MemberId &To, const EvidenceReport &Message) {
@@ -127,13 +127,13 @@
     return receive(From, decodeConfigurationMessage(Payload),
                    Sinks_.Configuration_);
   case MessageKind::Membership:
-    return receive(From, decodeMembershipMessage(Payload), Sinks_.Membership_);
+    return receive(From, decodeMembership(Payload), Sinks_.Membership_);
   case MessageKind::Directory:
-    return receive(From, decodeDirectoryMessage(Payload), Sinks_.Directory_);
+    return receive(From, decodeDirectory(Payload), Sinks_.Directory_);
   case MessageKind::Spread:
-    return receive(From, decodeSpreadMessage(Payload), Sinks_.Spread_);
+    return receive(From, decodeSpread(Payload), Sinks_.Spread_);
   case MessageKind::Lease:
-    return receive(From, decodeLeaseMessage(Payload), Sinks_.Lease_);
+    return receive(From, decodeLease(Payload), Sinks_.Lease_);
   case MessageKind::Evidence:
     return receive(From, decodeEvidenceReport(Payload), Sinks_.Evidence_);
   case MessageKind::EjectionAnswer:
