--- /dev/null
+++ b/Libraries/LibWire/DirectoryCodec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibDirectory/DirectoryMessages.h>
+#include <LibDirectory/SpreadMessages.h>
+
+#include <string>
+#include <string_view>
+
+namespace jaybridge {
+
+std::string encodeDirectory(const DirectoryMessage &Message);
+std::string encodeSpread(const SpreadMessage &Message);
+
+/// Fail with `Damaged` on bytes that no codec wrote.
+Result<DirectoryMessage> decodeDirectory(std::string_view Payload);
+Result<SpreadMessage> decodeSpread(std::string_view Payload);
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibWire/MembershipCodec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibMembership/MembershipMessages.h>
+
+#include <string>
+#include <string_view>
+
+namespace jaybridge {
+
+std::string encodeMembership(const MembershipMessage &Message);
+
+/// Fails with `Damaged` on bytes that no codec wrote.
+Result<MembershipMessage> decodeMembership(std::string_view Payload);
+
+} // namespace jaybridge
