--- a/Tests/Scenarios/TestScenarios.cpp
+++ b/Tests/Scenarios/TestScenarios.cpp
@@ -43,8 +43,8 @@
 
 template <typename Role>
 FleetFigures measure(const char *Kind, const FakeWorld &World,
-                     Role (*Create)(int, RandomSeed)) {
-  constexpr RandomSeed Seed(11);
+                     Role (*Create)(int, RandomSeed),
+                     RandomSeed Seed = RandomSeed(11)) {
   FleetFigures Found = FakeFleet<Role>(World, Create, Seed).run();
   std::printf("%-16s %-11s good %.4f", World.Name_, Kind, Found.goodShare());
   for (const auto &[Name, Of] : Found.Services_)
@@ -149,19 +149,25 @@
 // against collapse, and against broken promises under load.
 TEST_P(ScenarioTest, MeetsItsTargetAndBeatsTheBaselines) {
   const ScenarioCase &Case = GetParam();
-  FleetFigures Found = measure("jaybridge", Case.World_, createGateway);
-  FleetFigures Robin =
-      measure("round-robin", Case.World_, createBaseline<RoundRobin>);
-  FleetFigures Least =
-      measure("least-of-2", Case.World_, createBaseline<LeastLoadedOfTwo>);
-  EXPECT_EQ(Found.DoubledRuns_, 0);
-  EXPECT_EQ(Found.FalseNotRun_, 0);
-  EXPECT_EQ(Found.Unanswered_, 0);
-  EXPECT_GT(Case.Score_(Found), Case.Score_(Robin));
-  EXPECT_GT(Case.Score_(Found), Case.Score_(Least));
-  for (const auto &[Name, Of] : Found.Services_)
-    EXPECT_GE(Of.Good_, Case.LeastGood_ * std::min(Of.Offered_, Of.Capacity_))
-        << Name;
+  double Own = 0;
+  double Robin = 0;
+  double Least = 0;
+  for (RandomSeed Seed : {RandomSeed(11), RandomSeed(1), RandomSeed(3)}) {
+    FleetFigures Found = measure("jaybridge", Case.World_, createGateway, Seed);
+    Own += Case.Score_(Found);
+    Robin += Case.Score_(
+        measure("round-robin", Case.World_, createBaseline<RoundRobin>, Seed));
+    Least += Case.Score_(measure("least-of-2", Case.World_,
+                                 createBaseline<LeastLoadedOfTwo>, Seed));
+    EXPECT_EQ(Found.DoubledRuns_, 0);
+    EXPECT_EQ(Found.FalseNotRun_, 0);
+    EXPECT_EQ(Found.Unanswered_, 0);
+    for (const auto &[Name, Of] : Found.Services_)
+      EXPECT_GE(Of.Good_, Case.LeastGood_ * std::min(Of.Offered_, Of.Capacity_))
+          << Name;
+  }
+  EXPECT_GT(Own, Robin);
+  EXPECT_GT(Own, Least);
 }
 
 INSTANTIATE_TEST_SUITE_P(Faults, ScenarioTest, testing::ValuesIn(makeCases()),
