Tests: Let the baselines refuse truthfully after a retry

Cause: the baseline called requests not run when no instance was left for a retry of one that had run, 8 to 10 times in the error storm. That was a fault of the fake, not of the strategies that it stands for. Change: answer unknown after a first attempt.

--- a/Tests/Scenarios/BaselineGateway.h
+++ b/Tests/Scenarios/BaselineGateway.h
@@ -179,7 +179,8 @@
     List.Now_ = Now;
     std::optional<std::size_t> Chosen = Chooser_.choose(List);
     if (!Chosen)
-      return refuse(*Sent, Outcome::NotRun, Out);
+      return refuse(*Sent, Retries == 0 ? Outcome::NotRun : Outcome::Unknown,
+                    Out);
     ++List.Instances_[*Chosen].InUse_;
     Last_ = Last_.next();
     Attempts_.emplace(Last_, Running{Sent, *Chosen, Retries});
