Tests: Print false ejections per healthy instance-hour

Cause: the scenario table printed counts that depend on its length. Change: divide by the healthy instance-hours of each row.

--- a/Tests/Scenarios/TestDetectionScenarios.cpp
+++ b/Tests/Scenarios/TestDetectionScenarios.cpp
@@ -83,13 +83,16 @@
                                       All.percentile(Share))
                                       .count();
   };
-  double Size = static_cast<double>(Case.Shape_.Instances_);
-  std::printf("%-28s %-9s p50 %6.0f ms  p99 %6.0f ms  missed %2zu/%d  false "
-              "ejections %zu  lowest capacity %3.0f%% (floor %u%%)  bad in use "
-              "%3.0f%%  reports/s and gateway %.2f\n",
+  auto Size = static_cast<double>(Case.Shape_.Instances_);
+  double Hours =
+      static_cast<double>(Runs) * Size *
+      std::chrono::duration<double, std::ratio<3600>>(Warmup + After).count();
+  std::printf("%-24s %-9s p50 %6.0f ms  p99 %6.0f ms  not ejected %2zu/%d  "
+              "false ejections/instance-hour %.2f  lowest capacity %3.0f%% "
+              "(floor %u%%)  bad in use %3.0f%%  reports/s and gateway %.2f\n",
               Case.Name_, IsBaseline ? "baseline" : "", Milliseconds(0.5),
               Milliseconds(0.99), All.Missed_, static_cast<int>(Runs),
-              All.FalseEjections_,
+              static_cast<double>(All.FalseEjections_) / Hours,
               100 * (Size - static_cast<double>(All.GreatestUnion_)) / Size,
               Case.Shape_.Floor_.value(), 100 * All.UsedShare_,
               All.ReportsPerGatewaySecond_);
