LibTransport: Bound the life of connections to silent peers

Cause: after a partition TCP tries again at growing intervals for up to 15 minutes, so a peer would stay cut off long after the network has healed. The behaviour in a real partition was not tested, as tests may not change the network.

--- a/Libraries/LibTransport/IncomingPeer.cpp
+++ b/Libraries/LibTransport/IncomingPeer.cpp
@@ -1,5 +1,7 @@
 #include <LibTransport/IncomingPeer.h>
 
+#include <LibTransport/SocketOptions.h>
+
 namespace jaybridge {
 
 namespace {
@@ -17,10 +19,7 @@
       Options_(Options), Counters_(Counters), Deliver_(std::move(Deliver)) {}
 
 void IncomingPeer::start() {
-  asio::error_code Ignored;
-  Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
-  // A peer whose VM vanished sends no end of the connection.
-  Socket_.set_option(asio::socket_base::keep_alive(true), Ignored);
+  limitSilence(Socket_);
   HelloTimer_.expires_after(HelloTimeLimit);
   HelloTimer_.async_wait([Self = shared_from_this()](asio::error_code Code) {
     if (!Code && Self->Sender_.isEmpty())
--- a/Libraries/LibTransport/OutgoingPeer.cpp
+++ b/Libraries/LibTransport/OutgoingPeer.cpp
@@ -1,6 +1,7 @@
 #include <LibTransport/OutgoingPeer.h>
 
 #include <LibTransport/PeerFrame.h>
+#include <LibTransport/SocketOptions.h>
 
 #include <algorithm>
 
@@ -110,8 +111,7 @@
 }
 
 void OutgoingPeer::sendHello() {
-  asio::error_code Ignored;
-  Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  limitSilence(Socket_);
   const std::uint64_t Opened = Generation_;
   asio::async_write(
       Socket_, asio::buffer(Hello_),
