LibMembership: Ask only seeds that are not live members

Every member fetched the whole member list from a random seed each 10 s, which at 800 members sent 75 KB/s to a seed. A seed is now asked only while no live member has its address.

--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -50,6 +50,13 @@
   return Found == Entries_.end() ? nullptr : &Found->second.Record_;
 }
 
+bool MemberTable::hasLiveAt(const Endpoint &Address) const {
+  return std::any_of(Entries_.begin(), Entries_.end(), [&](const auto &Each) {
+    const MemberRecord &Record = Each.second.Record_;
+    return isLive(Record.State_) && Record.Address_ == Address;
+  });
+}
+
 std::vector<MemberId> MemberTable::shuffledLive(Random &Numbers) const {
   std::vector<MemberId> Order;
   Order.reserve(LiveCount_);
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -26,6 +26,7 @@
   bool apply(const MemberRecord &Record, TimePoint Now);
 
   const MemberRecord *find(const MemberId &Id) const;
+  bool hasLiveAt(const Endpoint &Address) const;
   std::size_t liveCount() const { return LiveCount_; }
   std::size_t size() const { return Entries_.size(); }
 
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -174,8 +174,12 @@
   bool IsAlone = Table_.liveCount() == 0;
   NextContactAt_ = Now + (IsAlone ? JoinPeriod : ReunionPeriod);
   Table_.forgetDead(Now);
-  if (!Seeds_.empty()) {
-    const Endpoint &Seed = Seeds_[Numbers_.below(Seeds_.size())];
+  std::vector<Endpoint> Absent;
+  for (const Endpoint &Each : Seeds_)
+    if (!Table_.hasLiveAt(Each))
+      Absent.push_back(Each);
+  if (!Absent.empty()) {
+    const Endpoint &Seed = Absent[Numbers_.below(Absent.size())];
     Out.push_back(SendToEndpoint{Seed, MembersWanted{Self_, MemberId()}});
   }
   if (auto Dead = Table_.randomDead(Numbers_))
--- a/Tests/LibWire/TestFleetCodec.cpp
+++ b/Tests/LibWire/TestFleetCodec.cpp
@@ -113,8 +113,8 @@
     GetParam().Again_(GetParam().Bytes_.substr(0, Length));
   for (int Round = 0; Round < 500; ++Round) {
     std::string Bytes = GetParam().Bytes_;
-    Bytes[Numbers.below(Bytes.size())] ^=
-        static_cast<char>(1U << Numbers.below(8));
+    char &Changed = Bytes[Numbers.below(Bytes.size())];
+    Changed = static_cast<char>(Changed ^ (1U << Numbers.below(8)));
     GetParam().Again_(Bytes);
   }
 }
--- a/Tests/Support/Fleet.h
+++ b/Tests/Support/Fleet.h
@@ -57,6 +57,10 @@
   }
   void healAll() { Cuts_.clear(); }
   void setFaults(LinkFaults Faults) { Faults_ = Faults; }
+  /// Shows every effect before it is delivered.
+  void observe(std::function<void(const Effect &)> Observe) {
+    Observe_ = std::move(Observe);
+  }
 
   void send(const MemberId &From, const MemberId &To, Event Sent) {
     if (Cuts_.contains({From, To}) || isDrawn(Faults_.Loss_))
@@ -128,8 +132,11 @@
     if (Given)
       Woken.Role_.handle(*Given, Now_, Effects);
     schedule(Id, Woken);
-    for (const Effect &Each : Effects)
+    for (const Effect &Each : Effects) {
+      if (Observe_)
+        Observe_(Each);
       Deliver_(*this, Id, Each);
+    }
   }
 
   void schedule(const MemberId &Id, Host &Changed) {
@@ -150,6 +157,7 @@
   }
 
   Route Deliver_;
+  std::function<void(const Effect &)> Observe_;
   LinkFaults Faults_;
   Random Numbers_;
   TimePoint Now_{1h};
