Meta: Name the option for unknown warnings first

Cause: clang reads warning options in order and still reported -Wshadow=local. Change: -Wno-unknown-warning-option comes first. Result: clang-tidy exits 0 on LibCore/Error.cpp.

--- a/Meta/CMake/Package.cmake
+++ b/Meta/CMake/Package.cmake
@@ -2,7 +2,7 @@
 # declares and of no others, and a decision package may only depend on decision
 # packages and the standard library.
 
-set(JAYBRIDGE_WARNINGS -Wall -Wextra -Wpedantic -Wshadow=local -Wno-unknown-warning-option -Wnon-virtual-dtor
+set(JAYBRIDGE_WARNINGS -Wno-unknown-warning-option -Wall -Wextra -Wpedantic -Wshadow=local -Wnon-virtual-dtor
     -Wconversion -Wno-sign-conversion -Werror)
 
 # Makes "#include <LibX/Header.h>" resolve for LibX alone.
