LibRouting: Serve repeatable requests elsewhere when their home is lost

Change: such a request goes to the next home, at most two, then is served locally, without the budget: a lost home's attempts end with its connections. The storage thread uses the tested ReplicationStore.

--- a/Libraries/LibControl/FleetService.h
+++ b/Libraries/LibControl/FleetService.h
@@ -96,9 +96,8 @@
   }
 
   /// Effects that concern nobody else here.
-  template <typename Other>
-  void apply(Other &Effect_, TimePoint, Effects &Out) {
-    Out.emplace_back(std::move(Effect_));
+  template <typename Other> void apply(Other &Given, TimePoint, Effects &Out) {
+    Out.emplace_back(std::move(Given));
   }
   void apply(MemberChanged &Changed, TimePoint Now, Effects &Out) {
     // Out first: a message to the member needs its address.
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -150,8 +150,9 @@
   }
   ServiceRouter &Router = Requests_.service(Forwarded->request().Service_);
   Router.loseHome(Forwarded->home(), Now);
-  if (MayHaveRun &&
-      !(Forwarded->isRepeatable() && Router.budget().withdrawRetry()))
+  // No retry budget is needed: the lost home's attempts ended with its
+  // connections, so the upstreams carry no more than before.
+  if (MayHaveRun && !Forwarded->isRepeatable())
     return Requests_.refuse(*Forwarded, RefusalReason::HomeLost, Now, Out);
   if (!forward(*Forwarded, Now, Out))
     serveHere(*Forwarded, Now, Out);
--- a/Services/jaybridged/DaemonConfiguration.cpp
+++ b/Services/jaybridged/DaemonConfiguration.cpp
@@ -4,14 +4,13 @@
 
 void Daemon::startConfiguration() {
   if (Storage_)
-    Storage_->start([this](StorageThread::Outcome Ended) {
-      std::visit(
-          [this](auto &Each) {
-            // The log would wait for a lost outcome without end, and never
-            // waits for this thread itself.
-            (void)Configuration_.ring().push(std::move(Each));
-          },
-          Ended);
+    Storage_->start([this](ReplicationEvent Ended) {
+      // The log would wait for a lost outcome without end, and never waits for
+      // this thread itself.
+      if (auto *Synced = std::get_if<Persisted>(&Ended))
+        (void)Configuration_.ring().push(*Synced);
+      else if (auto *Failed = std::get_if<PersistFailed>(&Ended))
+        (void)Configuration_.ring().push(std::move(*Failed));
     });
   Configuration_.start(
       [this](ConfigurationEffect Effect) -> std::optional<ConfigurationEvent> {
--- a/Services/jaybridged/StorageThread.h
+++ b/Services/jaybridged/StorageThread.h
@@ -2,7 +2,8 @@
 
 #include <LibReplication/ReplicationMessages.h>
 #include <LibRuntime/BoundedRing.h>
-#include <LibStorage/DataFolder.h>
+#include <LibStorage/ReplicationStore.h>
+#include <LibWire/ReplicationCodec.h>
 
 #include <functional>
 #include <memory>
@@ -14,8 +15,8 @@
 /// own, and reports each outcome.
 class StorageThread {
 public:
-  using Outcome = std::variant<Persisted, PersistFailed>;
-  using Sink = std::function<void(Outcome)>;
+  /// Receives `Persisted` or `PersistFailed` on this thread.
+  using Sink = std::function<void(ReplicationEvent)>;
 
   /// Opens or makes the folder. Errors: `Damaged`, `Conflict`, `Full`.
   static Result<std::unique_ptr<StorageThread>> open(const std::string &Path,
@@ -25,7 +26,7 @@
   StorageThread &operator=(const StorageThread &) = delete;
 
   /// What the folder held when it was opened.
-  RecoveredLog takeRecovered() { return std::move(Recovered_); }
+  RecoveredLog takeRecovered() { return Store_.takeRecovered(); }
 
   void start(Sink Deliver);
   /// False when the ring is full.
@@ -37,16 +38,15 @@
   /// Writes that share one sync.
   static constexpr std::size_t GreatestBatch = 64;
 
-  StorageThread(DataFolder<PosixFiles> Folder, RecoveredLog Recovered)
-      : Folder_(std::move(Folder)), Recovered_(std::move(Recovered)),
-        Ring_(WriteRing) {}
+  using Store = ReplicationStore<PosixFiles, PersistLogWireCodec>;
+
+  explicit StorageThread(Store Opened)
+      : Store_(std::move(Opened)), Ring_(WriteRing) {}
 
   void run();
   std::vector<PersistLog> takeBatch(PersistLog First);
-  Status write(const std::vector<PersistLog> &Batch);
 
-  DataFolder<PosixFiles> Folder_;
-  RecoveredLog Recovered_;
+  Store Store_;
   BoundedRing<PersistLog> Ring_;
   Sink Deliver_;
   std::thread Thread_;
