--- a/Libraries/LibControl/AuthorityService.cpp
+++ b/Libraries/LibControl/AuthorityService.cpp
@@ -24,9 +24,16 @@
   return "ejected";
 }
 
-bool isEjection(EjectionActKind Kind) {
-  return Kind == EjectionActKind::Ejected ||
-         Kind == EjectionActKind::EjectedAgain;
+AuditKind auditKindOf(EjectionActKind Kind) {
+  switch (Kind) {
+  case EjectionActKind::Ejected:
+  case EjectionActKind::EjectedAgain:
+    return AuditKind::InstanceEjected;
+  case EjectionActKind::KeptForFloor:
+    return AuditKind::EjectionWithheld;
+  default:
+    return AuditKind::InstanceReturned;
+  }
 }
 
 std::string describe(const EjectionAct &Act) {
@@ -248,8 +255,7 @@
                                      TimePoint Now) const {
   AuditEntry Entry;
   Entry.At_ = wallTime(Now);
-  Entry.Kind_ = isEjection(Act.Kind_) ? AuditKind::InstanceEjected
-                                      : AuditKind::InstanceReturned;
+  Entry.Kind_ = auditKindOf(Act.Kind_);
   Entry.Actor_ = Settings_.Self_.text();
   Entry.Service_ = Act.Service_;
   Entry.Version_ = Act.Version_;
--- a/Libraries/LibControl/FleetService.h
+++ b/Libraries/LibControl/FleetService.h
@@ -14,7 +14,6 @@
   using Effect = FleetEffect;
   using Effects = std::vector<Effect>;
 
-  /// The catalog is encoded for peers at most this long after they need it.
   FleetService(Membership Members, InstanceDirectory Directory,
                ConfigurationSpread Spread, HomeTable Homes)
       : Members_(std::move(Members)), Directory_(std::move(Directory)),
--- a/Libraries/LibTrace/AuditTrail.cpp
+++ b/Libraries/LibTrace/AuditTrail.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 constexpr std::array AllKinds = {
-    AuditKind::ConfigurationChanged, AuditKind::ConfigurationRefused,
-    AuditKind::InstanceEjected,      AuditKind::InstanceReturned,
-    AuditKind::AuthorityTaken,       AuditKind::FingerprintQuarantined,
-    AuditKind::MemberReplaced,
+    AuditKind::ConfigurationChanged,   AuditKind::ConfigurationRefused,
+    AuditKind::InstanceEjected,        AuditKind::InstanceReturned,
+    AuditKind::EjectionWithheld,       AuditKind::AuthorityTaken,
+    AuditKind::FingerprintQuarantined, AuditKind::MemberReplaced,
 };
 
 bool matches(const AuditEntry &Entry, const AuditQuery &Query) {
@@ -33,6 +33,8 @@
     return "instance-ejected";
   case AuditKind::InstanceReturned:
     return "instance-returned";
+  case AuditKind::EjectionWithheld:
+    return "ejection-withheld";
   case AuditKind::AuthorityTaken:
     return "authority-taken";
   case AuditKind::FingerprintQuarantined:
--- a/Libraries/LibTrace/AuditTrail.h
+++ b/Libraries/LibTrace/AuditTrail.h
@@ -15,6 +15,8 @@
   ConfigurationRefused,
   InstanceEjected,
   InstanceReturned,
+  /// An instance is bad, but the floor permits no further ejection.
+  EjectionWithheld,
   AuthorityTaken,
   FingerprintQuarantined,
   MemberReplaced,
--- a/Services/jaybridged/DaemonAuthority.cpp
+++ b/Services/jaybridged/DaemonAuthority.cpp
@@ -28,6 +28,8 @@
       Effect);
 }
 
+// FIXME: Send entries to the control members and write them to files there;
+// so far each daemon keeps its own in memory.
 void Daemon::record(AuditEntry Entry) {
   Log_.write(LogLevel::Info, auditKindName(Entry.Kind_),
              {{"actor", Entry.Actor_},
--- a/Services/jaybridged/DaemonFleet.cpp
+++ b/Services/jaybridged/DaemonFleet.cpp
@@ -6,44 +6,47 @@
 namespace jaybridge {
 
 void Daemon::deliver(FleetEffect Effect) {
-  std::visit(Overloaded{
-                 [this](SendToMember<MembershipMessage> &Send) {
-                   send(Send.To_, Send.Message_);
-                 },
-                 [this](SendToEndpoint &Send) {
-                   if (!Peers_.send(Send.To_, Send.Message_))
-                     MessagesUnsent_.add();
-                 },
-                 [this](SendToMember<DirectoryMessage> &Send) {
-                   send(Send.To_, Send.Message_);
-                 },
-                 [this](SendToMember<SpreadMessage> &Send) {
-                   send(Send.To_, Send.Message_);
-                 },
-                 [this](MemberChanged &Changed) { apply(Changed); },
-                 [this](LeaveFinished &) { Left_.set_value(); },
-                 [this](InstanceUpdated &Updated) {
-                   Requests_->post(InstanceChanged{Updated.Record_});
-                   post(*Authority_, std::move(Updated));
-                 },
-                 [this](AnnouncementAnswered &Answered) { answer(Answered); },
-                 [this](ConfirmationChanged &Changed) {
-                   Log_.writeChange(LogLevel::Info, "directory",
-                                    Changed.IsConfirmed_ ? "confirmed"
-                                                         : "unconfirmed");
-                 },
-                 [this](LoadLearned &Learned) {
-                   Requests_->post(LoadReported{Learned.Hint_.Instance_,
-                                                Learned.Hint_.Service_,
-                                                Learned.Hint_.Busy_});
-                 },
-                 [this](CatalogInForce &Catalog) { apply(Catalog); },
-                 [this](HomesChanged &Changed) {
-                   Requests_->post(std::move(Changed));
-                 },
-                 [this](StatusFound &Found) { Api_.answer(Found); },
-             },
-             Effect);
+  std::visit(
+      Overloaded{
+          [this](SendToMember<MembershipMessage> &Send) {
+            send(Send.To_, Send.Message_);
+          },
+          [this](SendToEndpoint &Send) {
+            if (!Peers_.send(Send.To_, Send.Message_))
+              MessagesUnsent_.add();
+          },
+          [this](SendToMember<DirectoryMessage> &Send) {
+            send(Send.To_, Send.Message_);
+          },
+          [this](SendToMember<SpreadMessage> &Send) {
+            send(Send.To_, Send.Message_);
+          },
+          [this](MemberChanged &Changed) { apply(Changed); },
+          [this](LeaveFinished &) { Left_.set_value(); },
+          [this](InstanceUpdated &Updated) {
+            Requests_->post(InstanceChanged{Updated.Record_});
+            post(*Authority_, std::move(Updated));
+          },
+          [this](AnnouncementAnswered &Answered) { answer(Answered); },
+          // FIXME: The gateway must learn of it and verify instances itself, so
+          // that a cut-off gateway sends nothing new to one that is leaving.
+          [this](ConfirmationChanged &Changed) {
+            Log_.writeChange(LogLevel::Info, "directory",
+                             Changed.IsConfirmed_ ? "confirmed"
+                                                  : "unconfirmed");
+          },
+          [this](LoadLearned &Learned) {
+            Requests_->post(LoadReported{Learned.Hint_.Instance_,
+                                         Learned.Hint_.Service_,
+                                         Learned.Hint_.Busy_});
+          },
+          [this](CatalogInForce &Catalog) { apply(Catalog); },
+          [this](HomesChanged &Changed) {
+            Requests_->post(std::move(Changed));
+          },
+          [this](StatusFound &Found) { Api_.answer(Found); },
+      },
+      Effect);
 }
 
 void Daemon::apply(const MemberChanged &Changed) {
