jaybridge: Keep what an update of a profile does not name

Cause: the tool sent only the given fields and the daemon filled the rest with defaults, so that a new floor made a repeatable profile run at most once. Found by trying the fleet as a user would. Change: the tool reads the profile, replaces the given fields, and bases the change on the version that it read.

--- a/Tests/Smoke/TestSmoke.cpp
+++ b/Tests/Smoke/TestSmoke.cpp
@@ -112,5 +112,18 @@
   EXPECT_EQ(Fleet_.daemon("g1").wait(), 0);
 }
 
+// Guards against an update that resets what the operator did not name: a change
+// of the floor once made a repeatable profile run at most once.
+TEST_F(SmokeTest, UpdatesOnlyTheGivenFields) {
+  auto [Code, Output] =
+      Fleet_.runTool({"profile", "update", "status", "--floor_percent=80"});
+  ASSERT_EQ(Code, 0) << Output;
+  std::string Shown =
+      Fleet_.runTool({"--json", "profile", "show", "status"}).second;
+  EXPECT_NE(Shown.find("\"floor_percent\": 80"), std::string::npos) << Shown;
+  EXPECT_NE(Shown.find("\"repeatable\": true"), std::string::npos) << Shown;
+  EXPECT_NE(Shown.find("\"patience_ms\": 20000"), std::string::npos) << Shown;
+}
+
 } // namespace
 } // namespace jaybridge
--- a/Utilities/jaybridge/Commands.cpp
+++ b/Utilities/jaybridge/Commands.cpp
@@ -127,19 +127,36 @@
   return Code;
 }
 
-ExitCode changeProfile(const Options &Given, const OperatorClient &Client,
-                       const char *Action) {
+ExitCode createProfile(const Options &Given, const OperatorClient &Client) {
   Json Fields = Given.ProfileFields_;
   Fields["name"] = Given.Words_[2];
-  return sendChange(Given, Client, {{"action", Action}, {"profile", Fields}});
-}
-
-ExitCode createProfile(const Options &Given, const OperatorClient &Client) {
-  return changeProfile(Given, Client, "create-profile");
+  return sendChange(Given, Client,
+                    {{"action", "create-profile"}, {"profile", Fields}});
 }
 
+/// Sends the whole profile, so that what was not given stays as it was in the
+/// version that the change is based on.
 ExitCode updateProfile(const Options &Given, const OperatorClient &Client) {
-  return changeProfile(Given, Client, "update-profile");
+  auto Reply = Client.get("/v1/profiles/" + Given.Words_[2]);
+  if (!Reply) {
+    complain("jaybridge: " + Reply.error().Message_ + "\n");
+    return ExitCode::Unavailable;
+  }
+  if (exitCodeOf(Reply.value().Status_) != ExitCode::Success)
+    return reportFailure(Reply.value());
+  Json Fields = Json::parse(Reply.value().Body_, nullptr, false);
+  if (!Fields.is_object() || !Fields.contains("version")) {
+    complain("jaybridge: the daemon's reply is not a profile\n");
+    return ExitCode::Failure;
+  }
+  Options Based = Given;
+  if (!Based.BasedOn_)
+    Based.BasedOn_ =
+        ConfigurationVersion(Fields["version"].get<std::uint64_t>());
+  Fields.erase("version");
+  Fields.update(Given.ProfileFields_);
+  return sendChange(Based, Client,
+                    {{"action", "update-profile"}, {"profile", Fields}});
 }
 
 ExitCode showProfile(const Options &Given, const OperatorClient &Client) {
