--- a/Meta/jaybridge.sh
+++ b/Meta/jaybridge.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Usage: Meta/jaybridge.sh build|format|lint|test|run|bench [NAME]
+# Usage: Meta/jaybridge.sh build|format|lint|test|run|bench decisions|control|latency
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BUILD="${JAYBRIDGE_BUILD_FOLDER:-build}"
@@ -41,6 +41,22 @@
   lint
   run_tests
   ;;
+bench)
+  build
+  case "${2:-}" in
+  decisions)
+    "$BUILD/Tests/Benchmarks/BenchGateway"
+    # A scenario that misses its target is shown, not hidden.
+    "$BUILD/Tests/Scenarios/TestScenarios" || true
+    ;;
+  control) "$BUILD/Tests/Benchmarks/BenchControlSlopes" ;;
+  latency) "$BUILD/Tests/Benchmarks/BenchFleetLatency" ;;
+  *)
+    echo "bench decisions, control or latency" >&2
+    exit 2
+    ;;
+  esac
+  ;;
 run)
   . Meta/dependencies.sh
   install_dependencies
