Meta: Let the bench of decisions report a missed target

Cause: the exit code of the scenarios was dropped, so that a missed target looked like a success to a program. Change: the scenarios' exit code is the command's.

--- a/Meta/jaybridge.sh
+++ b/Meta/jaybridge.sh
@@ -46,8 +46,7 @@
   case "${2:-}" in
   decisions)
     "$BUILD/Tests/Benchmarks/BenchGateway"
-    # A scenario that misses its target is shown, not hidden.
-    "$BUILD/Tests/Scenarios/TestScenarios" || true
+    "$BUILD/Tests/Scenarios/TestScenarios"
     ;;
   control) "$BUILD/Tests/Benchmarks/BenchControlSlopes" ;;
   latency) "$BUILD/Tests/Benchmarks/BenchFleetLatency" ;;
