--- a/Libraries/LibExchange/Request.h
+++ b/Libraries/LibExchange/Request.h
@@ -26,7 +26,12 @@
 /// One request of a caller, received whole.
 struct Request {
   RequestId Id_;
+  /// The caller's own name of this attempt, passed on to the upstream.
+  std::optional<RequestId> CallerId_;
+  /// Empty until a routing table has named it.
   ServiceName Service_;
+  /// Authority that the caller addressed; set when a routing table decides.
+  std::string Authority_;
   std::string Method_;
   /// Path and query as the upstream sees them.
   std::string Target_;
--- a/Libraries/LibHTTP/CallerListener.cpp
+++ b/Libraries/LibHTTP/CallerListener.cpp
@@ -86,6 +86,7 @@
 struct PendingRequest {
   restinio::request_handle_t Handle_;
   std::shared_ptr<void> Open_;
+  std::optional<RequestId> CallerId_;
 };
 
 void count(std::atomic<std::uint64_t> &Counter) {
@@ -111,6 +112,10 @@
     Pending_.clear();
   }
 
+  void closeAfterAnswers() {
+    Thread_.post([this] { Draining_ = true; });
+  }
+
   void stopAccepting() {
     Thread_.post([this] {
       Draining_ = true;
@@ -163,12 +168,13 @@
   onRequest(restinio::request_handle_t Received) {
     count(Received_);
     RequestId Id = Ids_.next();
-    PendingRequest Pending{Received, Open_->begin(Open_)};
+    PendingRequest Pending{Received, Open_->begin(Open_), {}};
     auto Read = read(Received, Id);
     if (const Refusal *Refused = std::get_if<Refusal>(&Read)) {
       refuse(std::move(Pending), Id, *Refused);
       return restinio::request_accepted();
     }
+    Pending.CallerId_ = std::get<Request>(Read).CallerId_;
     // Registered first: the answer may come before the sink returns.
     Pending_.emplace(Id, Pending);
     ByConnection_[Received->connection_id()].insert(Id);
@@ -199,7 +205,7 @@
     });
     Message.Body_ = Handle->body();
     return readRequest(Id, std::move(Message), Options_.BodyLimit_,
-                       monotonicNow());
+                       Options_.Dialect_, monotonicNow());
   }
 
   void refuse(PendingRequest Request, const RequestId &Id,
@@ -217,7 +223,13 @@
       Problem.Headers_.push_back({"Content-Type", ProblemContentType});
       if (Refused->RetryAfter_)
         Problem.Headers_.push_back(
-            {"Retry-After", retryAfterSeconds(*Refused->RetryAfter_)});
+            {"Retry-After",
+             Options_.Dialect_.HasFractionalRetryAfter_
+                 ? fractionalRetryAfterSeconds(*Refused->RetryAfter_)
+                 : retryAfterSeconds(*Refused->RetryAfter_)});
+      if (Request.CallerId_)
+        Problem.Headers_.push_back(
+            {Options_.Dialect_.CallerRequestId_, Request.CallerId_->text()});
       Problem.Body_ =
           std::make_shared<const std::string>(problemDocumentOf(*Refused));
       writeResponse(std::move(Request), Id, Problem, Version);
@@ -239,6 +251,8 @@
     for (Header &Each : Headers)
       if (!isSameHeader(Each.Name_, "Content-Length"))
         Answered.append_header(std::move(Each.Name_), std::move(Each.Value_));
+    if (Options_.Dialect_.Form_ == RequestForm::HostAndPath)
+      return;
     Answered.append_header(RequestIdHeader, Id.text());
     Answered.append_header(ConfigurationVersionHeader,
                            std::to_string(Version.value()));
@@ -336,6 +350,7 @@
                             ConfigurationVersion Version) {
   Server_->answer(Id, std::move(Given), Version);
 }
+void CallerListener::closeAfterAnswers() { Server_->closeAfterAnswers(); }
 void CallerListener::stopAccepting() { Server_->stopAccepting(); }
 bool CallerListener::waitUntilAnswered(Duration Limit) {
   return Server_->waitUntilAnswered(Limit);
--- a/Libraries/LibHTTP/CallerListener.h
+++ b/Libraries/LibHTTP/CallerListener.h
@@ -5,6 +5,7 @@
 #include <LibCore/Result.h>
 #include <LibExchange/Answer.h>
 #include <LibExchange/Request.h>
+#include <LibHTTP/HeaderDialect.h>
 
 #include <functional>
 #include <memory>
@@ -20,6 +21,7 @@
   WallTime StartedAt_;
   ByteCount BodyLimit_{1024UL * 1024};
   ConnectionCount ConnectionLimit_{4096};
+  HeaderDialect Dialect_;
 };
 
 /// Where the listener's thread delivers. Neither call may block.
@@ -58,6 +60,8 @@
   /// nothing when the caller has gone.
   void answer(const RequestId &Id, Answer Given, ConfigurationVersion Version);
 
+  /// Closes each connection after its next answer, and still takes new ones.
+  void closeAfterAnswers();
   /// Takes no new connections. Those that exist are closed after their next
   /// answer.
   void stopAccepting();
--- a/Libraries/LibHTTP/ControlListener.cpp
+++ b/Libraries/LibHTTP/ControlListener.cpp
@@ -54,6 +54,8 @@
     if (Given.Status_ == StatusCode(401))
       Answered.append_header("WWW-Authenticate", "Bearer");
     Answered.append_header("Content-Type", std::move(Given.ContentType_));
+    for (Header &Each : Given.Headers_)
+      Answered.append_header(std::move(Each.Name_), std::move(Each.Value_));
     Answered.set_body(std::move(Given.Body_));
     Answered.done();
   } catch (const std::exception &) {
@@ -135,10 +137,12 @@
   }
 
   bool isAuthorized(const ControlRequest &Received) const {
+    if (!Options_.Token_)
+      return true;
     const Header *Given = findHeader(Received.Headers_, "Authorization");
     if (!Given || !Given->Value_.starts_with(BearerPrefix))
       return false;
-    return Options_.Token_.isEqualTo(
+    return Options_.Token_->isEqualTo(
         std::string_view(Given->Value_).substr(BearerPrefix.size()));
   }
 
--- a/Libraries/LibHTTP/ControlListener.h
+++ b/Libraries/LibHTTP/ControlListener.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace jaybridge {
 
@@ -23,6 +24,7 @@
   StatusCode Status_{200};
   std::string ContentType_ = "application/json";
   std::string Body_;
+  std::vector<Header> Headers_{};
 };
 
 /// Answers the request; from any thread, at most once.
@@ -44,7 +46,8 @@
 struct ControlListenerOptions {
   /// Port 0 lets the kernel choose; see `ControlListener::address()`.
   Endpoint Address_;
-  AccessToken Token_;
+  /// None when all routes are open; unknown paths are then answered 404.
+  std::optional<AccessToken> Token_;
   ByteCount BodyLimit_{64UL * 1024};
 };
 
--- a/Libraries/LibHTTP/ProblemDocument.cpp
+++ b/Libraries/LibHTTP/ProblemDocument.cpp
@@ -31,6 +31,10 @@
     return "Conflict";
   case 413:
     return "Content Too Large";
+  case 307:
+    return "Temporary Redirect";
+  case 421:
+    return "Misdirected Request";
   case 422:
     return "Unprocessable Content";
   case 500:
@@ -65,6 +69,15 @@
                        nlohmann::json::error_handler_t::replace);
 }
 
+std::string fractionalRetryAfterSeconds(Duration RetryAfter) {
+  constexpr long MillisecondsPerSecond = 1000;
+  long Whole =
+      std::chrono::ceil<std::chrono::milliseconds>(RetryAfter).count();
+  std::string Fraction = std::to_string(Whole % MillisecondsPerSecond);
+  Fraction.insert(0, 3 - Fraction.size(), '0');
+  return std::to_string(Whole / MillisecondsPerSecond) + "." + Fraction;
+}
+
 std::string retryAfterSeconds(Duration RetryAfter) {
   return std::to_string(
       std::chrono::ceil<std::chrono::seconds>(RetryAfter).count());
--- a/Libraries/LibHTTP/ProblemDocument.h
+++ b/Libraries/LibHTTP/ProblemDocument.h
@@ -14,6 +14,9 @@
 /// JSON text of a refusal (RFC 9457).
 std::string problemDocumentOf(const Refusal &Refused);
 
+/// Value of `Retry-After` in seconds with three digits after the point.
+std::string fractionalRetryAfterSeconds(Duration RetryAfter);
+
 /// Value of `Retry-After` in whole seconds, rounded up.
 std::string retryAfterSeconds(Duration RetryAfter);
 
--- a/Libraries/LibHTTP/RequestReader.cpp
+++ b/Libraries/LibHTTP/RequestReader.cpp
@@ -61,47 +61,66 @@
 
 std::variant<Request, Refusal> readRequest(RequestId Id,
                                            ReceivedMessage Received,
-                                           ByteCount BodyLimit, TimePoint Now) {
+                                           ByteCount BodyLimit,
+                                           const HeaderDialect &Dialect,
+                                           TimePoint Now) {
   if (Received.Body_.size() > BodyLimit.value())
     return notRun(RefusalReason::BodyTooLarge,
                   "the body is longer than " +
                       std::to_string(BodyLimit.value()) + " bytes");
+  const bool IsServiceNamed = Dialect.Form_ == RequestForm::ServiceInPath;
   std::optional<SplitTarget> Split = splitTarget(Received.Target_);
   if (!Split)
     return notRun(RefusalReason::BadRequest,
                   "the request target must be a path");
-  if (Split->Service_.isEmpty())
+  if (IsServiceNamed && Split->Service_.isEmpty())
     return notRun(RefusalReason::UnknownService,
                   "the first path segment must name a service");
   if (std::any_of(Received.Headers_.begin(), Received.Headers_.end(),
                   hasLineBreak))
     return notRun(RefusalReason::BadRequest, "a header holds a line break");
-  for (const char *Name : {DeadlineHeader, IdempotencyKeyHeader})
-    if (countOf(Received.Headers_, Name) > 1)
+  for (const std::string &Name :
+       {Dialect.Deadline_, std::string(IdempotencyKeyHeader),
+        Dialect.CallerRequestId_, std::string("Host")})
+    if (!Name.empty() && countOf(Received.Headers_, Name) > 1)
       return notRun(RefusalReason::BadRequest,
-                    std::string(Name) + " is given more than once");
+                    Name + " is given more than once");
 
   Request Read;
   Read.Id_ = std::move(Id);
-  Read.Service_ = std::move(Split->Service_);
   Read.Method_ = std::move(Received.Method_);
-  Read.Target_ = std::move(Split->Target_);
-  if (const Header *Given = findHeader(Received.Headers_, DeadlineHeader)) {
+  if (IsServiceNamed) {
+    Read.Service_ = std::move(Split->Service_);
+    Read.Target_ = std::move(Split->Target_);
+  } else {
+    Read.Target_ = std::string(Received.Target_);
+    if (const Header *Given = findHeader(Received.Headers_, "Host"))
+      Read.Authority_ = Given->Value_;
+    if (const Header *Given =
+            findHeader(Received.Headers_, Dialect.CallerRequestId_))
+      Read.CallerId_ = RequestId(Given->Value_);
+  }
+  if (const Header *Given = findHeader(Received.Headers_, Dialect.Deadline_)) {
     auto Left = readMilliseconds(Given->Value_);
     if (!Left)
       return notRun(RefusalReason::BadRequest,
-                    std::string(DeadlineHeader) +
-                        " must be whole milliseconds");
+                    Dialect.Deadline_ + " must be whole milliseconds");
     Read.Deadline_ = Now + *Left;
   }
-  if (const Header *Given = findHeader(Received.Headers_, IdempotencyKeyHeader))
+  if (const Header *Given =
+          IsServiceNamed
+              ? findHeader(Received.Headers_, IdempotencyKeyHeader)
+              : nullptr)
     Read.Key_ = IdempotencyKeyText(Given->Value_);
   Read.Headers_ = std::move(Received.Headers_);
   removeConnectionHeaders(Read.Headers_);
-  // The client towards the upstream writes both of these itself.
-  std::erase_if(Read.Headers_, [](const Header &Each) {
+  // The client towards the upstream writes these itself.
+  std::erase_if(Read.Headers_, [&](const Header &Each) {
     return isSameHeader(Each.Name_, "Content-Length") ||
-           isSameHeader(Each.Name_, "Host");
+           (IsServiceNamed && isSameHeader(Each.Name_, "Host")) ||
+           isSameHeader(Each.Name_, Dialect.Deadline_) ||
+           isSameHeader(Each.Name_, Dialect.CallerRequestId_) ||
+           isSameHeader(Each.Name_, Dialect.ExpectedInstance_);
   });
   Read.Body_ = std::make_shared<const std::string>(std::move(Received.Body_));
   return Read;
--- a/Libraries/LibHTTP/RequestReader.h
+++ b/Libraries/LibHTTP/RequestReader.h
@@ -2,6 +2,7 @@
 
 #include <LibExchange/Answer.h>
 #include <LibExchange/Request.h>
+#include <LibHTTP/HeaderDialect.h>
 
 #include <string>
 #include <string_view>
@@ -13,7 +14,7 @@
 /// The parts of a received HTTP request.
 struct ReceivedMessage {
   std::string Method_;
-  /// Request target as received, with the service as its first segment.
+  /// Request target as received.
   std::string_view Target_;
   std::vector<Header> Headers_;
   std::string Body_;
@@ -23,6 +24,8 @@
 /// caller. The limit applies to the body.
 std::variant<Request, Refusal> readRequest(RequestId Id,
                                            ReceivedMessage Received,
-                                           ByteCount BodyLimit, TimePoint Now);
+                                           ByteCount BodyLimit,
+                                           const HeaderDialect &Dialect,
+                                           TimePoint Now);
 
 } // namespace jaybridge
--- a/Libraries/LibHTTP/UpstreamClient.h
+++ b/Libraries/LibHTTP/UpstreamClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Result.h>
+#include <LibHTTP/HeaderDialect.h>
 #include <LibRouting/GatewayMessages.h>
 
 #include <functional>
@@ -20,6 +21,10 @@
   /// more.
   Duration IdleLimit_ = 20s;
   CommandLimit Commands_{8192};
+  HeaderDialect Dialect_;
+  /// Without it each attempt opens a connection of its own, so that no late or
+  /// extra answer of an earlier attempt can be met.
+  bool ReusesConnections_ = true;
 };
 
 struct UpstreamClientCounts {
--- a/Libraries/LibHTTP/UpstreamTransfer.cpp
+++ b/Libraries/LibHTTP/UpstreamTransfer.cpp
@@ -3,6 +3,7 @@
 #include <LibHTTP/HeaderRules.h>
 
 #include <algorithm>
+#include <cstdio>
 
 namespace jaybridge {
 
@@ -10,7 +11,10 @@
 
 constexpr std::size_t HeaderLimit = 64UL * 1024;
 constexpr long StatusUnavailable = 503;
+constexpr long StatusMisdirected = 421;
 constexpr long FirstFinalStatus = 200;
+constexpr long FirstRedirection = 300;
+constexpr long FirstFailure = 400;
 
 template <typename Value>
 void setOption(CURL *Handle, CURLoption Option, Value Given) {
@@ -44,18 +48,15 @@
                                    const UpstreamClientOptions &Options,
                                    TimePoint Now)
     : Attempt_(std::move(Attempt)), Handle_(std::move(Handle)), StartedAt_(Now),
-      AnswerLimit_(Options.AnswerLimit_) {
+      AnswerLimit_(Options.AnswerLimit_), Dialect_(Options.Dialect_) {
   const Duration Left = Attempt_.Deadline_ - Now;
   setRequest();
   setHeaders(Left);
+  setConnection(Options);
   CURL *Easy = Handle_.get();
   setOption(Easy, CURLOPT_TIMEOUT_MS, millisecondsOf(Left));
   setOption(Easy, CURLOPT_CONNECTTIMEOUT_MS,
             millisecondsOf(std::min(Left, Options.ConnectLimit_)));
-  setOption(
-      Easy, CURLOPT_MAXAGE_CONN,
-      static_cast<long>(
-          std::chrono::ceil<std::chrono::seconds>(Options.IdleLimit_).count()));
   setOption(Easy, CURLOPT_NOSIGNAL, 1L);
   // The environment of the process must not redirect requests.
   setOption(Easy, CURLOPT_PROXY, "");
@@ -70,6 +71,17 @@
   setOption(Easy, CURLOPT_PRIVATE, this);
 }
 
+void UpstreamTransfer::setConnection(const UpstreamClientOptions &Options) {
+  CURL *Easy = Handle_.get();
+  setOption(
+      Easy, CURLOPT_MAXAGE_CONN,
+      static_cast<long>(
+          std::chrono::ceil<std::chrono::seconds>(Options.IdleLimit_).count()));
+  setOption(Easy, CURLOPT_TCP_NODELAY, 1L);
+  setOption(Easy, CURLOPT_FRESH_CONNECT, Options.ReusesConnections_ ? 0L : 1L);
+  setOption(Easy, CURLOPT_FORBID_REUSE, Options.ReusesConnections_ ? 0L : 1L);
+}
+
 void UpstreamTransfer::setRequest() {
   CURL *Easy = Handle_.get();
   const Request &Sent = *Attempt_.Request_;
@@ -99,10 +111,16 @@
   for (const char *Name : {"Accept", "Content-Type", "Expect"})
     if (!findHeader(Given, Name))
       append(Headers_, std::string(Name) + ":");
+  const Request &Sent = *Attempt_.Request_;
+  if (!Dialect_.CallerRequestId_.empty() && Sent.CallerId_)
+    append(Headers_, Dialect_.CallerRequestId_ + ": " + Sent.CallerId_->text());
+  else
+    append(Headers_, std::string(RequestIdHeader) + ": " + Sent.Id_.text());
+  if (!Dialect_.ExpectedInstance_.empty() && !Attempt_.Instance_.isEmpty())
+    append(Headers_,
+           Dialect_.ExpectedInstance_ + ": " + Attempt_.Instance_.text());
   append(Headers_,
-         std::string(RequestIdHeader) + ": " + Attempt_.Request_->Id_.text());
-  append(Headers_,
-         std::string(DeadlineHeader) + ": " +
+         Dialect_.Deadline_ + ": " +
              std::to_string(
                  std::chrono::floor<std::chrono::milliseconds>(Left).count()));
   setOption(Handle_.get(), CURLOPT_HTTPHEADER, Headers_.get());
@@ -200,17 +218,56 @@
   // libcurl reports success when a connection ends inside the headers.
   if (Code != CURLE_OK || !HeadersComplete_ || Received < FirstFinalStatus)
     return AttemptResult::CutShort;
-  const Header *Stated = findHeader(AnswerHeaders_, OutcomeHeader);
-  if (Received == StatusUnavailable && Stated &&
-      Stated->Value_ == OutcomeNotRun)
+  if (statesNotRun(Received))
     return AttemptResult::RefusedNotRun;
-  return AttemptResult::Answered;
+  return isOwnAnswer(Received) ? AttemptResult::Answered
+                               : AttemptResult::CutShort;
+}
+
+bool UpstreamTransfer::statesNotRun(long Received) const {
+  // With ExpectedInstance_, another instance at the address refuses so.
+  if (Received == StatusMisdirected && !Dialect_.ExpectedInstance_.empty())
+    return true;
+  const Header *Stated = findHeader(AnswerHeaders_, Dialect_.NotRun_);
+  if (!Stated || Received < FirstFailure)
+    return false;
+  return Dialect_.NotRunValue_.empty() ||
+         (Received == StatusUnavailable &&
+          Stated->Value_ == Dialect_.NotRunValue_);
+}
+
+bool UpstreamTransfer::isOwnAnswer(long Received) const {
+  const bool IsSuccess =
+      Received >= FirstFinalStatus && Received < FirstRedirection;
+  if (const Header *Named =
+          Dialect_.CallerRequestId_.empty()
+              ? nullptr
+              : findHeader(AnswerHeaders_, Dialect_.CallerRequestId_))
+    return Attempt_.Request_->CallerId_ &&
+           Named->Value_ == Attempt_.Request_->CallerId_->text() &&
+           (!IsSuccess || Dialect_.Signature_.empty() ||
+            findHeader(AnswerHeaders_, Dialect_.Signature_));
+  return Dialect_.CallerRequestId_.empty() || !IsSuccess;
+}
+
+std::optional<SlotCount> UpstreamTransfer::reportedLoad() const {
+  if (Dialect_.Load_.empty())
+    return std::nullopt;
+  const Header *Given = findHeader(AnswerHeaders_, Dialect_.Load_);
+  if (!Given)
+    return std::nullopt;
+  unsigned Running = 0;
+  unsigned Waiting = 0;
+  if (std::sscanf(Given->Value_.c_str(), "%u,%u", &Running, &Waiting) != 2)
+    return std::nullopt;
+  return SlotCount(Running + Waiting);
 }
 
 AttemptOutcome UpstreamTransfer::finish(CURLcode Code, TimePoint Now) {
   AttemptOutcome Ended;
   Ended.Result_ = resultOf(Code);
   Ended.Elapsed_ = Now - StartedAt_;
+  Ended.Busy_ = reportedLoad();
   if (Ended.Result_ != AttemptResult::Answered &&
       Ended.Result_ != AttemptResult::RefusedNotRun)
     return Ended;
--- a/Libraries/LibHTTP/UpstreamTransfer.h
+++ b/Libraries/LibHTTP/UpstreamTransfer.h
@@ -53,7 +53,12 @@
   bool addBody(std::string_view Bytes);
   void setRequest();
   void setHeaders(Duration Left);
+  void setConnection(const UpstreamClientOptions &Options);
   long statusCode() const;
+  bool statesNotRun(long Received) const;
+  /// The answer belongs to this attempt and is vouched for by the upstream.
+  bool isOwnAnswer(long Received) const;
+  std::optional<SlotCount> reportedLoad() const;
   AttemptResult resultOf(CURLcode Code) const;
 
   SendAttempt Attempt_;
@@ -61,6 +66,7 @@
   HeaderList Headers_;
   TimePoint StartedAt_;
   ByteCount AnswerLimit_;
+  HeaderDialect Dialect_;
 
   /// libcurl was about to write the request to a connection.
   bool MayBeSent_ = false;
--- a/Libraries/LibLog/Log.cpp
+++ b/Libraries/LibLog/Log.cpp
@@ -1,9 +1,11 @@
 #include <LibLog/Log.h>
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <atomic>
 
 namespace jaybridge {
 
@@ -84,27 +86,45 @@
   return Line;
 }
 
+/// Lines wait in a bounded queue for a thread that writes them. A full queue
+/// drops its oldest line, so that no thread ever waits for the output.
 class Log::Output {
 public:
   Output(LogLevel Lowest, const MemberId &Member)
-      : Logger_(Member.text(),
-                std::make_shared<spdlog::sinks::stderr_sink_mt>()) {
-    Logger_.set_level(spdlogLevel(Lowest));
-    Logger_.set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l member=%n %v",
-                        spdlog::pattern_time_type::utc);
+      : Writer_(std::make_shared<spdlog::details::thread_pool>(WaitingLines,
+                                                               1)),
+        Logger_(std::make_shared<spdlog::async_logger>(
+            Member.text(), std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+            Writer_, spdlog::async_overflow_policy::overrun_oldest)) {
+    Logger_->set_level(spdlogLevel(Lowest));
+    Logger_->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l member=%n %v",
+                         spdlog::pattern_time_type::utc);
+    Logger_->flush_on(spdlog::level::info);
   }
   void write(LogLevel Level, const std::string &Line) {
-    Logger_.log(spdlogLevel(Level), "{}", Line);
+    Logger_->log(spdlogLevel(Level), "{}", Line);
+    const std::uint64_t Dropped = Writer_->overrun_counter();
+    if (Told_.exchange(Dropped, std::memory_order_relaxed) != Dropped)
+      Logger_->warn("event=log-lines-dropped total={}", Dropped);
+  }
+  EventCount dropped() const {
+    return EventCount(Writer_->overrun_counter());
   }
 
 private:
-  spdlog::logger Logger_;
+  static constexpr std::size_t WaitingLines = 4096;
+
+  std::shared_ptr<spdlog::details::thread_pool> Writer_;
+  std::shared_ptr<spdlog::async_logger> Logger_;
+  std::atomic<std::uint64_t> Told_ = 0;
 };
 
 Log::Log(LogLevel Lowest, const MemberId &Member)
     : Output_(std::make_unique<Output>(Lowest, Member)) {}
 Log::~Log() = default;
 
+EventCount Log::droppedLines() const { return Output_->dropped(); }
+
 void Log::write(LogLevel Level, std::string_view Event,
                 std::initializer_list<LogField> Fields) {
   Output_->write(Level, logLineOf(Event, Fields));
--- a/Libraries/LibLog/Log.h
+++ b/Libraries/LibLog/Log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibCore/Units.h>
 
 #include <initializer_list>
 #include <map>
@@ -27,7 +28,8 @@
 std::string logLineOf(std::string_view Event,
                       std::initializer_list<LogField> Fields);
 
-/// Writes one line for each event to standard error. For any thread.
+/// Writes one line for each event to standard output. For any thread; no call
+/// waits.
 class Log {
 public:
   Log(LogLevel Lowest, const MemberId &Member);
@@ -37,6 +39,8 @@
 
   void write(LogLevel Level, std::string_view Event,
              std::initializer_list<LogField> Fields);
+  /// Lines lost because the output did not keep up.
+  EventCount droppedLines() const;
   /// Writes a line only when the subject's state differs from the last one
   /// that was written. True when it did.
   bool writeChange(LogLevel Level, std::string_view Subject,
--- /dev/null
+++ b/Libraries/LibRegistry/ControlService.h
@@ -0,0 +1,411 @@
+#pragma once
+
+#include <LibRegistry/ControlMessages.h>
+#include <LibRegistry/HealthBoard.h>
+#include <LibRegistry/ServiceRegistry.h>
+#include <LibRegistry/SubscriberTable.h>
+#include <LibRegistry/VoterPolicy.h>
+
+#include <LibCore/DecisionRole.h>
+
+namespace jaybridge {
+
+/// Text of commands and snapshots in the replicated log.
+template <typename Codec>
+concept RegistryEncoding = requires(const RegistryCommand &Command,
+                                    const RegistryState &State,
+                                    const std::string &Text) {
+  { Codec::encodeCommand(Command) } -> std::same_as<std::string>;
+  { Codec::decodeCommand(Text) } -> std::same_as<Result<RegistryCommand>>;
+  { Codec::encodeState(State) } -> std::same_as<std::string>;
+  { Codec::decodeState(Text) } -> std::same_as<Result<RegistryState>>;
+};
+
+struct ControlSettings {
+  MemberId Self_;
+  FailureDomain Domain_;
+  /// How often subscribers hear that they are up to date. Several intervals
+  /// fit into the time after which a gateway looks for another member.
+  Duration CurrentInterval_ = 400ms;
+  /// How often followers report to the leader without a failure to tell.
+  Duration ReportInterval_ = 1s;
+};
+
+/// A control member: its part in the replicated log, the registry that the log
+/// builds, and the gateways that follow it. Changes are acknowledged once a
+/// majority has synced them. Only a member that hears the leader says that a
+/// revision is current.
+template <RegistryEncoding Codec> class ControlService {
+public:
+  using Event = ControlEvent;
+  using Effect = ControlEffect;
+  using Effects = std::vector<Effect>;
+
+  ControlService(ControlSettings Settings, ReplicatedLog Log)
+      : Settings_(std::move(Settings)), Log_(std::move(Log)) {}
+
+  void handle(const Event &Incoming, TimePoint Now, Effects &Out) {
+    std::visit([&](const auto &Each) { on(Each, Now, Out); }, Incoming);
+    settle(Now, Out);
+  }
+  void advance(TimePoint Now, Effects &Out) {
+    Log_.advance(Now, LogEffects_);
+    if (auto Change = Voters_.decide(Log_, Now))
+      Log_.handle(*Change, Now, LogEffects_);
+    settle(Now, Out);
+    if (Now >= NextCurrent_)
+      announceCurrent(Now, Out);
+    if (Now >= NextReport_)
+      report(Now, Out);
+  }
+  std::optional<TimePoint> nextDeadline() const {
+    TimePoint Next = std::min(NextCurrent_, NextReport_);
+    if (auto Due = Log_.nextDeadline())
+      Next = std::min(Next, *Due);
+    return Next;
+  }
+
+  const ServiceRegistry &registry() const { return Registry_; }
+  const ReplicatedLog &log() const { return Log_; }
+  /// Whether this member knows that what it holds is in force.
+  bool isCurrent() const {
+    return !Log_.isStopped() && Log_.isVoter() && Log_.leader().has_value();
+  }
+
+private:
+  // Replication, writes and their failures.
+  void on(const ReplicationMessage &Received, TimePoint Now, Effects &) {
+    Log_.handle(Received, Now, LogEffects_);
+  }
+  void on(const Persisted &Done, TimePoint Now, Effects &) {
+    Log_.handle(Done, Now, LogEffects_);
+  }
+  void on(const PersistFailed &Failed, TimePoint Now, Effects &) {
+    Log_.handle(Failed, Now, LogEffects_);
+  }
+
+  // Instances and operators.
+  void on(const InstanceAnnouncedItself &Said, TimePoint Now, Effects &Out) {
+    Announced_.insert(Said.Record_.Id_);
+    Board_.noteAnnounced(Said.Record_.Id_, Now);
+    if (isCurrent() && !Registry_.isNews(Said.Record_))
+      return answer(Said.Query_, Acknowledged{}, Out);
+    change(Said.Query_, StoreInstance{Said.Record_}, Now, Out);
+  }
+  void on(const InstanceSaidGoodbye &Said, TimePoint Now, Effects &Out) {
+    const InstanceRecord *Known = Registry_.find(Said.Id_);
+    Incarnation UpTo = Said.Version_.value_or(Known ? Known->Version_
+                                                    : Incarnation());
+    bool IsGone = !Known || Known->Version_ > UpTo;
+    if (Log_.isLeader() && IsGone)
+      return answer(Said.Query_, Acknowledged{}, Out);
+    change(Said.Query_, RemoveInstance{Said.Id_, UpTo}, Now, Out);
+  }
+  void on(const DocumentOffered &Offered, TimePoint Now, Effects &Out) {
+    if (Log_.isLeader() && Offered.Document_.Version_ <= Registry_.version())
+      return answer(Offered.Query_, Acknowledged{}, Out);
+    change(Offered.Query_, Offered.Document_, Now, Out);
+  }
+  void on(const DocumentAsked &Asked, TimePoint Now, Effects &Out) {
+    if (refer(Asked.Query_, Out))
+      return;
+    LastRead_ = LastRead_.next();
+    Reads_[LastRead_] = Asked.Query_;
+    Log_.handle(ReadIndex{LastRead_}, Now, LogEffects_);
+  }
+
+  /// Proposes a command that is acknowledged once it is committed.
+  void change(ControlQuery Query, const RegistryCommand &Command, TimePoint Now,
+              Effects &Out) {
+    if (refer(Query, Out))
+      return;
+    LastProposal_ = LastProposal_.next();
+    Changes_[LastProposal_] = Query;
+    Log_.handle(Propose{LastProposal_, Codec::encodeCommand(Command)}, Now,
+                LogEffects_);
+  }
+  /// Answers at once when another member has to decide.
+  bool refer(ControlQuery Query, Effects &Out) {
+    if (Log_.isLeader())
+      return false;
+    if (Log_.leader())
+      answer(Query, AskInstead{*Log_.leader()}, Out);
+    else
+      answer(Query, NotAvailable{"no leader of the control members is known"},
+             Out);
+    return true;
+  }
+
+  // Gateways and other control members.
+  void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out) {
+    std::visit(
+        Overloaded{
+            [&](const Subscribe &Asked) {
+              subscribe(Received.From_, Asked, Now, Out);
+            },
+            [&](const EvidenceReported &Report) {
+              take(Report.Instances_, Now, Out);
+            },
+            [&](const FollowerReported &Report) {
+              Members_[Received.From_] = Report.Domain_;
+              for (const InstanceId &Each : Report.Announced_)
+                Board_.noteAnnounced(Each, Now);
+              take(Report.Instances_, Now, Out);
+            },
+            [&](const LeaderJudged &Judged) {
+              if (Log_.leader() == Received.From_)
+                follow(Judged, Now, Out);
+            },
+            [](const auto &) {},
+        },
+        Received.Message_);
+  }
+
+  void subscribe(const MemberId &From, const Subscribe &Asked, TimePoint Now,
+                 Effects &Out) {
+    // Silence sends the gateway to another member.
+    if (!isCurrent() || Asked.Revision_ > Revision_ ||
+        !Subscribers_.renew(From, Asked.Revision_, Now))
+      return;
+    if (Asked.Revision_ == Revision_ && Revision_ > LogIndex())
+      return send(From, RegistryCurrent{Revision_, Suspects_}, Out);
+    RegistryUpdated Whole;
+    Whole.Revision_ = Revision_;
+    if (Registry_.document() && Asked.Version_ < Registry_.version())
+      Whole.Document_ = Registry_.document();
+    for (const auto &[Id, Record] : Registry_.instances())
+      Whole.Instances_.push_back(Record);
+    Whole.Members_ = members();
+    send(From, std::move(Whole), Out);
+    Subscribers_.noteSent(From, Revision_);
+  }
+
+  void take(const std::vector<AttemptTally> &Seen, TimePoint Now,
+            Effects &Out) {
+    bool HasFailure = false;
+    for (const AttemptTally &Each : Seen) {
+      Board_.record(Each, Now);
+      AttemptTally &Sum = Unreported_[Each.Id_];
+      Sum.Id_ = Each.Id_;
+      Sum.Failures_ += Each.Failures_;
+      Sum.Successes_ += Each.Successes_;
+      HasFailure = HasFailure || Each.Failures_ > EventCount(0);
+    }
+    if (HasFailure)
+      report(Now, Out);
+  }
+
+  void follow(const LeaderJudged &Judged, TimePoint Now, Effects &Out) {
+    JudgedAt_ = Now;
+    for (const ControlMember &Each : Judged.Members_)
+      Members_[Each.Id_] = Each.Domain_;
+    setSuspects(Judged.Suspects_, Out);
+  }
+
+  void setSuspects(std::vector<InstanceId> Suspects, Effects &Out) {
+    if (Suspects == Suspects_)
+      return;
+    Suspects_ = std::move(Suspects);
+    Out.emplace_back(SuspectsChanged{Suspects_});
+    tellSubscribers(Out);
+  }
+
+  void tellSubscribers(Effects &Out) {
+    if (!isCurrent())
+      return;
+    for (const auto &[Id, Each] : Subscribers_.all())
+      send(Id, RegistryCurrent{Revision_, Suspects_}, Out);
+  }
+
+  void announceCurrent(TimePoint Now, Effects &Out) {
+    NextCurrent_ = Now + Settings_.CurrentInterval_;
+    Subscribers_.expire(Now);
+    if (!Log_.isLeader() && Now > JudgedAt_ + 3 * Settings_.ReportInterval_)
+      Suspects_.clear();
+    if (Log_.isLeader())
+      judge(Now, Out);
+    tellSubscribers(Out);
+  }
+
+  /// A follower passes its evidence to the leader; the leader tells followers
+  /// what it concludes.
+  void report(TimePoint Now, Effects &Out) {
+    NextReport_ = Now + Settings_.ReportInterval_;
+    if (Log_.isLeader()) {
+      Unreported_.clear();
+      Announced_.clear();
+      judge(Now, Out);
+      for (const Voter &Each : Log_.members().Voters_)
+        if (Each.Id_ != Settings_.Self_)
+          send(Each.Id_, LeaderJudged{Suspects_, members()}, Out);
+      return;
+    }
+    if (!Log_.leader())
+      return;
+    FollowerReported Report;
+    Report.Domain_ = Settings_.Domain_;
+    Report.Announced_.assign(Announced_.begin(), Announced_.end());
+    for (auto &[Id, Each] : Unreported_)
+      Report.Instances_.push_back(std::move(Each));
+    Announced_.clear();
+    Unreported_.clear();
+    send(*Log_.leader(), std::move(Report), Out);
+  }
+
+  void judge(TimePoint Now, Effects &Out) {
+    std::vector<InstanceId> Suspected = Board_.suspects(Now);
+    std::erase_if(Suspected, [this](const InstanceId &Each) {
+      return Registry_.find(Each) == nullptr;
+    });
+    if (Suspected == Suspects_)
+      return;
+    setSuspects(std::move(Suspected), Out);
+    for (const Voter &Each : Log_.members().Voters_)
+      if (Each.Id_ != Settings_.Self_)
+        send(Each.Id_, LeaderJudged{Suspects_, members()}, Out);
+  }
+
+  std::vector<ControlMember> members() const {
+    std::vector<ControlMember> Known;
+    for (const Voter &Each : Log_.members().Voters_) {
+      auto Found = Members_.find(Each.Id_);
+      bool IsOwn = Each.Id_ == Settings_.Self_;
+      Known.push_back(ControlMember{
+          Each.Id_, IsOwn ? Settings_.Domain_
+                          : (Found == Members_.end() ? FailureDomain()
+                                                     : Found->second)});
+    }
+    return Known;
+  }
+
+  /// Applies the log's effects; each may cause further ones.
+  void settle(TimePoint Now, Effects &Out) {
+    for (std::size_t Index = 0; Index < LogEffects_.size(); ++Index) {
+      ReplicationEffect Each = std::move(LogEffects_[Index]);
+      std::visit([&](auto &Inner) { apply(Inner, Now, Out); }, Each);
+    }
+    LogEffects_.clear();
+    if (Log_.leader() == KnownLeader_ && Log_.term() == KnownTerm_)
+      return;
+    bool IsNewLeader = Log_.leader() != KnownLeader_;
+    KnownLeader_ = Log_.leader();
+    KnownTerm_ = Log_.term();
+    if (IsNewLeader)
+      Out.emplace_back(LeaderChanged{KnownLeader_, KnownTerm_});
+  }
+
+  void apply(SendReplication &Send, TimePoint, Effects &Out) {
+    Out.emplace_back(std::move(Send));
+  }
+  void apply(PersistLog &Write, TimePoint, Effects &Out) {
+    Out.emplace_back(std::move(Write));
+  }
+  void apply(MemberStopped &Stopped, TimePoint, Effects &Out) {
+    Out.emplace_back(std::move(Stopped));
+  }
+  void apply(CommitCommand &Committed, TimePoint Now, Effects &Out) {
+    auto Command = Codec::decodeCommand(Committed.Payload_);
+    if (!Command) {
+      Log_.handle(PersistFailed{Command.error()}, Now, LogEffects_);
+      return;
+    }
+    RegistryChange Change = Registry_.apply(Command.value());
+    if (Change.isEmpty())
+      return;
+    publish(Committed.Index_, Change, Out);
+    Out.emplace_back(RegistryApplied{Revision_, Registry_.version(),
+                                     Command.takeValue()});
+  }
+  void apply(InstallSnapshot &Install, TimePoint Now, Effects &) {
+    auto State = Codec::decodeState(Install.State_);
+    if (!State) {
+      Log_.handle(PersistFailed{State.error()}, Now, LogEffects_);
+      return;
+    }
+    Registry_ = ServiceRegistry(State.takeValue());
+    // Subscribers at other revisions ask for the whole registry.
+    Revision_ = Install.LastIndex_;
+  }
+  void apply(TakeSnapshot &Take, TimePoint Now, Effects &) {
+    Log_.handle(
+        SnapshotTaken{Take.Index_, Codec::encodeState(Registry_.state())}, Now,
+        LogEffects_);
+  }
+  void apply(ProposalAnswer &Decided, TimePoint, Effects &Out) {
+    auto Found = Changes_.find(Decided.Id_);
+    if (Found == Changes_.end())
+      return;
+    ControlQuery Query = Found->second;
+    Changes_.erase(Found);
+    if (Decided.Answer_)
+      answer(Query, Acknowledged{}, Out);
+    else
+      answer(Query, NotAvailable{Decided.Answer_.error().Message_}, Out);
+  }
+  void apply(ReadAnswer &Decided, TimePoint, Effects &Out) {
+    auto Found = Reads_.find(Decided.Id_);
+    if (Found == Reads_.end())
+      return;
+    ControlQuery Query = Found->second;
+    Reads_.erase(Found);
+    if (!Decided.Answer_)
+      answer(Query, NotAvailable{Decided.Answer_.error().Message_}, Out);
+    else if (!Registry_.document())
+      answer(Query, NotAvailable{"no configuration has been accepted yet"},
+             Out);
+    else
+      answer(Query, *Registry_.document(), Out);
+  }
+
+  void publish(LogIndex Revision, RegistryChange &Change, Effects &Out) {
+    LogIndex Since = Revision_;
+    Revision_ = Revision;
+    for (const InstanceRecord &Each : Change.Instances_)
+      if (Each.State_ == InstanceState::Left)
+        Board_.forget(Each.Id_);
+    RegistryUpdated Update;
+    Update.Since_ = Since;
+    Update.Revision_ = Revision;
+    if (Change.IsDocumentNew_)
+      Update.Document_ = Registry_.document();
+    Update.Instances_ = std::move(Change.Instances_);
+    for (const auto &[Id, Each] : Subscribers_.all()) {
+      if (Each.Revision_ != Since)
+        continue;
+      send(Id, Update, Out);
+      Subscribers_.noteSent(Id, Revision);
+    }
+  }
+
+  void send(const MemberId &To, SubscriptionMessage Message, Effects &Out) {
+    Out.emplace_back(SendSubscription{To, std::move(Message)});
+  }
+  void answer(ControlQuery Query, ControlReplyBody Body, Effects &Out) {
+    Out.emplace_back(ControlAnswered{Query, std::move(Body)});
+  }
+
+  ControlSettings Settings_;
+  ReplicatedLog Log_;
+  VoterPolicy Voters_;
+  std::vector<ReplicationEffect> LogEffects_;
+  ServiceRegistry Registry_;
+  /// Index of the last command that changed the registry.
+  LogIndex Revision_;
+  SubscriberTable Subscribers_;
+  HealthBoard Board_;
+  std::vector<InstanceId> Suspects_;
+  TimePoint JudgedAt_{};
+  std::map<MemberId, FailureDomain> Members_;
+  std::set<InstanceId> Announced_;
+  std::map<InstanceId, AttemptTally> Unreported_;
+  std::map<ProposalId, ControlQuery> Changes_;
+  std::map<ReadId, ControlQuery> Reads_;
+  ProposalId LastProposal_;
+  ReadId LastRead_;
+  std::optional<MemberId> KnownLeader_;
+  Term KnownTerm_;
+  TimePoint NextCurrent_{};
+  TimePoint NextReport_{};
+};
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -0,0 +1,205 @@
+#include <LibRegistry/FleetSubscription.h>
+
+#include <algorithm>
+
+namespace jaybridge {
+
+namespace {
+
+/// How long the judgement of the control members is followed without being
+/// renewed.
+constexpr Duration SuspectLifetime = 3s;
+
+bool isFailure(const ObserveAttempt &Seen) {
+  switch (Seen.Result_) {
+  case AttemptResult::Answered:
+    return Seen.Status_ >= FirstServerError;
+  case AttemptResult::ConnectFailed:
+  case AttemptResult::ConnectionLost:
+  case AttemptResult::CutShort:
+  case AttemptResult::TimedOut:
+    return true;
+  case AttemptResult::RefusedNotRun:
+  case AttemptResult::TooLarge:
+  case AttemptResult::Cancelled:
+    return false;
+  }
+  return false;
+}
+
+bool isSuccess(const ObserveAttempt &Seen) {
+  return Seen.Result_ == AttemptResult::Answered && !isFailure(Seen);
+}
+
+} // namespace
+
+std::optional<TimePoint> FleetSubscriptionState::nextDeadline() const {
+  TimePoint Next = std::min(GiveUpAt_, NextRenewal_);
+  if (ReportAt_)
+    Next = std::min(Next, *ReportAt_);
+  return Next;
+}
+
+void FleetSubscriptionState::advance(TimePoint Now, Effects &Out) {
+  if (Now >= GiveUpAt_)
+    chooseNext(Now, Out);
+  else if (Now >= NextRenewal_)
+    subscribe(Now, Out);
+  if (ReportAt_ && Now >= *ReportAt_)
+    reportEvidence(Out);
+}
+
+std::vector<MemberId> FleetSubscriptionState::candidates() {
+  std::vector<MemberId> Near;
+  std::vector<MemberId> Far;
+  for (const ControlMember &Each : Members_)
+    (Each.Domain_ == Settings_.Domain_ ? Near : Far).push_back(Each.Id_);
+  for (const MemberId &Seed : Settings_.Seeds_)
+    if (std::find(Near.begin(), Near.end(), Seed) == Near.end() &&
+        std::find(Far.begin(), Far.end(), Seed) == Far.end())
+      Far.push_back(Seed);
+  auto Shuffle = [this](std::vector<MemberId> &List) {
+    for (std::size_t Left = List.size(); Left > 1; --Left)
+      std::swap(List[Left - 1], List[Random_.below(Left)]);
+  };
+  Shuffle(Near);
+  Shuffle(Far);
+  Near.insert(Near.end(), Far.begin(), Far.end());
+  // Taken from the back.
+  std::reverse(Near.begin(), Near.end());
+  return Near;
+}
+
+void FleetSubscriptionState::chooseNext(TimePoint Now, Effects &Out) {
+  if (IsConfirmed_) {
+    IsConfirmed_ = false;
+    Out.emplace_back(ContactChanged{});
+  }
+  std::optional<MemberId> Failed = Contact_;
+  Contact_.reset();
+  if (Untried_.empty())
+    Untried_ = candidates();
+  if (Untried_.size() > 1 && Untried_.back() == Failed)
+    std::swap(Untried_.back(), Untried_.front());
+  if (!Untried_.empty()) {
+    Contact_ = Untried_.back();
+    Untried_.pop_back();
+  }
+  GiveUpAt_ = Now + (HadContact_ ? Settings_.ContactTimeout_ / 2
+                                 : Settings_.FirstContactTimeout_);
+  subscribe(Now, Out);
+}
+
+void FleetSubscriptionState::subscribe(TimePoint Now, Effects &Out) {
+  NextRenewal_ = Now + Settings_.RenewInterval_;
+  if (Contact_)
+    Out.emplace_back(SendSubscription{*Contact_, Subscribe{Revision_, Version_}});
+}
+
+void FleetSubscriptionState::heard(const MemberId &From, TimePoint Now,
+                                   Effects &Out) {
+  GiveUpAt_ = Now + Settings_.ContactTimeout_;
+  HadContact_ = true;
+  Untried_.clear();
+  if (IsConfirmed_)
+    return;
+  IsConfirmed_ = true;
+  Out.emplace_back(ContactChanged{From});
+}
+
+bool FleetSubscriptionState::accepts(const MemberId &From,
+                                     const RegistryUpdated &Update,
+                                     TimePoint Now, Effects &Out) {
+  // A member that was left may be behind the one that is followed now.
+  if (Contact_ != From)
+    return false;
+  if (Update.Since_ ? *Update.Since_ != Revision_
+                    : Update.Revision_ < Revision_) {
+    subscribe(Now, Out);
+    return false;
+  }
+  heard(From, Now, Out);
+  Revision_ = Update.Revision_;
+  return true;
+}
+
+void FleetSubscriptionState::applyInstances(const RegistryUpdated &Update,
+                                            Effects &Out) {
+  if (!Update.Members_.empty())
+    Members_ = Update.Members_;
+  if (!Update.Since_) {
+    std::set<InstanceId> Named;
+    for (const InstanceRecord &Each : Update.Instances_)
+      Named.insert(Each.Id_);
+    std::erase_if(Instances_, [&](const auto &Each) {
+      if (Named.contains(Each.first))
+        return false;
+      InstanceRecord Gone = Each.second;
+      Gone.State_ = InstanceState::Left;
+      Out.emplace_back(InstanceChanged{std::move(Gone)});
+      return true;
+    });
+  }
+  for (const InstanceRecord &Each : Update.Instances_) {
+    if (Each.State_ == InstanceState::Left)
+      Instances_.erase(Each.Id_);
+    else if (auto Known = Instances_.find(Each.Id_);
+             Known != Instances_.end() && Known->second == Each)
+      continue;
+    else
+      Instances_.insert_or_assign(Each.Id_, Each);
+    Out.emplace_back(InstanceChanged{Each});
+  }
+}
+
+void FleetSubscriptionState::confirm(const MemberId &From,
+                                     const RegistryCurrent &Said, TimePoint Now,
+                                     Effects &Out) {
+  if (Contact_ != From)
+    return;
+  if (Said.Revision_ != Revision_)
+    return subscribe(Now, Out);
+  heard(From, Now, Out);
+  applySuspects(Said.Suspects_, Now, Out);
+}
+
+void FleetSubscriptionState::applySuspects(
+    const std::vector<InstanceId> &Suspects, TimePoint Now, Effects &Out) {
+  std::map<ServiceName, std::vector<InstanceId>> ByService;
+  for (const InstanceId &Each : Suspects)
+    if (auto Known = Instances_.find(Each); Known != Instances_.end())
+      ByService[Known->second.Service_].push_back(Each);
+  // A service without suspects any more is named once, with an empty list.
+  for (const auto &[Name, Previous] : Suspects_)
+    ByService.try_emplace(Name);
+  for (const auto &[Name, Named] : ByService)
+    Out.emplace_back(EjectionsChanged{Name, Named, Now + SuspectLifetime});
+  std::erase_if(ByService,
+                [](const auto &Each) { return Each.second.empty(); });
+  Suspects_ = std::move(ByService);
+}
+
+void FleetSubscriptionState::observe(const ObserveAttempt &Seen,
+                                     TimePoint Now) {
+  bool IsFailure = isFailure(Seen);
+  if (!IsFailure && !isSuccess(Seen))
+    return;
+  AttemptTally &Sum = Evidence_[Seen.Instance_];
+  Sum.Id_ = Seen.Instance_;
+  (IsFailure ? Sum.Failures_ : Sum.Successes_) += EventCount(1);
+  TimePoint Due = Now + (IsFailure ? Settings_.FailureDelay_
+                                   : Settings_.SuccessDelay_);
+  ReportAt_ = ReportAt_ ? std::min(*ReportAt_, Due) : Due;
+}
+
+void FleetSubscriptionState::reportEvidence(Effects &Out) {
+  ReportAt_.reset();
+  EvidenceReported Report;
+  for (auto &[Id, Sum] : Evidence_)
+    Report.Instances_.push_back(std::move(Sum));
+  Evidence_.clear();
+  if (Contact_ && IsConfirmed_)
+    Out.emplace_back(SendSubscription{*Contact_, std::move(Report)});
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibRegistry/FleetSubscription.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <LibCore/DecisionRole.h>
+#include <LibCore/Random.h>
+#include <LibCore/Result.h>
+#include <LibRegistry/SubscriptionMessages.h>
+#include <LibRouting/GatewayMessages.h>
+
+#include <concepts>
+#include <map>
+#include <set>
+
+namespace jaybridge {
+
+struct FleetSubscriptionSettings {
+  FailureDomain Domain_;
+  /// Control members to ask first.
+  std::vector<MemberId> Seeds_;
+  /// A member that was not heard for so long is left for another one. Three
+  /// intervals of a control member's announcements.
+  Duration ContactTimeout_ = 1200ms;
+  /// Before the first contact: members start at about the same time.
+  Duration FirstContactTimeout_ = 400ms;
+  Duration RenewInterval_ = 1s;
+  /// How long outcomes wait to be reported together.
+  Duration SuccessDelay_ = 1s;
+  Duration FailureDelay_ = 20ms;
+};
+
+/// A gateway found or lost a control member that is up to date.
+struct ContactChanged {
+  std::optional<MemberId> Member_;
+};
+
+using FleetSubscriptionEvent = std::variant<SubscriptionReceived,
+                                            ObserveAttempt>;
+using FleetSubscriptionEffect =
+    std::variant<SendSubscription, RoutingChanged, InstanceChanged,
+                 EjectionsChanged, ContactChanged>;
+
+/// Reads the text of a configuration into the routing table that it states.
+template <typename Reader>
+concept DocumentReader = requires(const std::string &Text) {
+  { Reader::read(Text) } -> std::same_as<Result<RoutingTable>>;
+};
+
+/// The part of the view that does not depend on how documents are written.
+class FleetSubscriptionState {
+public:
+  using Effects = std::vector<FleetSubscriptionEffect>;
+
+  FleetSubscriptionState(FleetSubscriptionSettings Settings, RandomSeed Seed)
+      : Settings_(std::move(Settings)), Random_(Seed) {}
+
+  void advance(TimePoint Now, Effects &Out);
+  std::optional<TimePoint> nextDeadline() const;
+  void observe(const ObserveAttempt &Seen, TimePoint Now);
+
+  /// True when the update continues what is known and is to be applied.
+  bool accepts(const MemberId &From, const RegistryUpdated &Update,
+               TimePoint Now, Effects &Out);
+  void applyInstances(const RegistryUpdated &Update, Effects &Out);
+  void confirm(const MemberId &From, const RegistryCurrent &Said, TimePoint Now,
+               Effects &Out);
+  void setVersion(ConfigurationVersion Version) { Version_ = Version; }
+  ConfigurationVersion version() const { return Version_; }
+
+private:
+  void heard(const MemberId &From, TimePoint Now, Effects &Out);
+  void chooseNext(TimePoint Now, Effects &Out);
+  void subscribe(TimePoint Now, Effects &Out);
+  void reportEvidence(Effects &Out);
+  void applySuspects(const std::vector<InstanceId> &Suspects, TimePoint Now,
+                     Effects &Out);
+  std::vector<MemberId> candidates();
+
+  FleetSubscriptionSettings Settings_;
+  Random Random_;
+  std::vector<ControlMember> Members_;
+  std::vector<MemberId> Untried_;
+  std::optional<MemberId> Contact_;
+  bool IsConfirmed_ = false;
+  bool HadContact_ = false;
+  TimePoint GiveUpAt_{};
+  TimePoint NextRenewal_{};
+  LogIndex Revision_;
+  ConfigurationVersion Version_;
+  std::map<InstanceId, InstanceRecord> Instances_;
+  std::map<ServiceName, std::vector<InstanceId>> Suspects_;
+  std::map<InstanceId, AttemptTally> Evidence_;
+  std::optional<TimePoint> ReportAt_;
+};
+
+/// A gateway's view of the registry: it follows one control member that is up
+/// to date, and keeps what it knows while there is none.
+template <DocumentReader Reader> class FleetSubscription {
+public:
+  using Event = FleetSubscriptionEvent;
+  using Effect = FleetSubscriptionEffect;
+  using Effects = std::vector<Effect>;
+
+  FleetSubscription(FleetSubscriptionSettings Settings, RandomSeed Seed)
+      : State_(std::move(Settings), Seed) {}
+
+  void handle(const Event &Incoming, TimePoint Now, Effects &Out) {
+    std::visit([&](const auto &Each) { on(Each, Now, Out); }, Incoming);
+  }
+  void advance(TimePoint Now, Effects &Out) { State_.advance(Now, Out); }
+  std::optional<TimePoint> nextDeadline() const {
+    return State_.nextDeadline();
+  }
+
+private:
+  void on(const ObserveAttempt &Seen, TimePoint Now, Effects &) {
+    State_.observe(Seen, Now);
+  }
+  void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out) {
+    if (const auto *Update = std::get_if<RegistryUpdated>(&Received.Message_)) {
+      if (!State_.accepts(Received.From_, *Update, Now, Out))
+        return;
+      if (Update->Document_)
+        adopt(*Update->Document_, Out);
+      State_.applyInstances(*Update, Out);
+    } else if (const auto *Current =
+                   std::get_if<RegistryCurrent>(&Received.Message_)) {
+      State_.confirm(Received.From_, *Current, Now, Out);
+    }
+  }
+  void adopt(const StoredDocument &Stored, Effects &Out) {
+    if (Stored.Version_ <= State_.version())
+      return;
+    auto Read = Reader::read(Stored.Text_);
+    // Documents are checked before they are accepted.
+    JAYBRIDGE_VERIFY(Read.hasValue());
+    State_.setVersion(Stored.Version_);
+    Out.emplace_back(RoutingChanged{
+        std::make_shared<const RoutingTable>(Read.takeValue())});
+  }
+
+  FleetSubscriptionState State_;
+};
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibRegistry/SubscriberTable.cpp
@@ -0,0 +1,24 @@
+#include <LibRegistry/SubscriberTable.h>
+
+namespace jaybridge {
+
+bool SubscriberTable::renew(const MemberId &Id, LogIndex Revision,
+                            TimePoint Now) {
+  if (!Subscribers_.contains(Id) && Subscribers_.size() >= Greatest)
+    return false;
+  Subscribers_[Id] = Subscriber{Revision, Now};
+  return true;
+}
+
+void SubscriberTable::noteSent(const MemberId &Id, LogIndex Revision) {
+  if (auto Found = Subscribers_.find(Id); Found != Subscribers_.end())
+    Found->second.Revision_ = Revision;
+}
+
+void SubscriberTable::expire(TimePoint Now) {
+  std::erase_if(Subscribers_, [&](const auto &Each) {
+    return Now > Each.second.RenewedAt_ + Lifetime;
+  });
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <LibRegistry/RegistryCommand.h>
+
+#include <LibCore/Units.h>
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace jaybridge {
+
+/// A control member and where it is.
+struct ControlMember {
+  MemberId Id_;
+  FailureDomain Domain_;
+
+  friend bool operator==(const ControlMember &,
+                         const ControlMember &) = default;
+};
+
+/// Outcomes of attempts at an instance since the last report.
+struct AttemptTally {
+  InstanceId Id_;
+  EventCount Failures_;
+  EventCount Successes_;
+};
+
+// From a gateway to a control member.
+
+/// Asks for the registry and its changes from a revision on; repeated to keep
+/// the subscription.
+struct Subscribe {
+  LogIndex Revision_;
+  ConfigurationVersion Version_;
+};
+
+struct EvidenceReported {
+  std::vector<AttemptTally> Instances_;
+};
+
+// From a control member to a gateway.
+
+/// The whole registry, or the changes since a revision.
+struct RegistryUpdated {
+  /// None when the update is whole.
+  std::optional<LogIndex> Since_;
+  LogIndex Revision_;
+  /// Left out when the receiver has this version.
+  std::optional<StoredDocument> Document_;
+  std::vector<InstanceRecord> Instances_;
+  std::vector<ControlMember> Members_;
+};
+
+/// The sender hears the leader, and this revision is the newest that it knows.
+struct RegistryCurrent {
+  LogIndex Revision_;
+  std::vector<InstanceId> Suspects_;
+};
+
+// Between control members.
+
+/// A follower's part of what the leader judges by.
+struct FollowerReported {
+  FailureDomain Domain_;
+  std::vector<InstanceId> Announced_;
+  std::vector<AttemptTally> Instances_;
+};
+
+/// The leader's judgement, for the subscribers of its followers.
+struct LeaderJudged {
+  std::vector<InstanceId> Suspects_;
+  std::vector<ControlMember> Members_;
+};
+
+using SubscriptionMessage =
+    std::variant<Subscribe, EvidenceReported, RegistryUpdated, RegistryCurrent,
+                 FollowerReported, LeaderJudged>;
+
+/// A message of another daemon.
+struct SubscriptionReceived {
+  MemberId From_;
+  SubscriptionMessage Message_;
+};
+
+struct SendSubscription {
+  MemberId To_;
+  SubscriptionMessage Message_;
+};
+
+} // namespace jaybridge
--- a/Libraries/LibReplication/ReplicatedLog.h
+++ b/Libraries/LibReplication/ReplicatedLog.h
@@ -22,6 +22,9 @@
   Duration JoinTimeout_ = std::chrono::seconds(30);
   /// Committed entries after which a snapshot is asked for.
   std::size_t SnapshotEvery_ = 256;
+  /// Whether this member may form a new log. Only one set of members may ever
+  /// do so: where they are not listed, those that all members know of.
+  bool MayForm_ = true;
 };
 
 enum class ReplicationRole { Follower, PreCandidate, Candidate, Leader };
@@ -46,7 +49,7 @@
   static constexpr std::size_t GreatestEntries = 8192;
   static constexpr std::size_t GreatestJoiners = 16;
   static constexpr std::size_t GreatestBatch = 64;
-  static constexpr ByteCount GreatestPayload{64ULL * 1024};
+  static constexpr ByteCount GreatestPayload{4ULL * 1024 * 1024};
   static constexpr ByteCount GreatestBatchSize{256ULL * 1024};
   static constexpr ByteCount SnapshotPieceSize{64ULL * 1024};
   static constexpr ByteCount GreatestSnapshotSize{32ULL * 1024 * 1024};
@@ -69,6 +72,16 @@
   const VoterSet &members() const { return Log_.members(); }
   bool isVoter() const { return members().isVoter(Self_); }
   bool isStopped() const { return IsStopped_; }
+  /// When the leader last heard the voter; none when this is not the leader.
+  std::optional<TimePoint> lastHeard(const Voter &Asked) const;
+  struct Joiner {
+    FolderGeneration Generation_;
+    bool IsEmpty_ = false;
+    TimePoint FirstHeardAt_;
+    TimePoint HeardAt_;
+  };
+  /// Members that asked to join, by id.
+  const std::map<MemberId, Joiner> &joiners() const { return Joiners_; }
   /// Messages dropped because storage did not keep up.
   EventCount droppedMessages() const { return Writes_.dropped(); }
 
@@ -77,11 +90,6 @@
     TimePoint Now_;
     Effects &Out_;
   };
-  struct Joiner {
-    FolderGeneration Generation_;
-    bool IsEmpty_ = false;
-    TimePoint HeardAt_;
-  };
   struct IncomingSnapshot {
     /// Pieces of different leaders are not mixed.
     Term Sender_;
@@ -103,6 +111,7 @@
   void receive(const PersistFailed &Failure, Step &S);
   void receive(const SnapshotTaken &Taken, Step &S);
   void receive(const ReplaceMember &Replace, Step &S);
+  void receive(const ContactsLearned &Learned, Step &S);
   void announceRecovered(Step &S);
   void stop(Error Reason, Step &S);
   void refuseWhileStopped(const Event &Received, Step &S);
@@ -192,6 +201,8 @@
   TimePoint NextHeartbeat_;
 
   std::map<MemberId, Joiner> Joiners_;
+  /// Members besides the configured ones that may know the leader.
+  std::vector<MemberId> Contacts_;
   TimePoint NextJoinRequest_;
 };
 
--- a/Libraries/LibReplication/ReplicatedLogMembers.cpp
+++ b/Libraries/LibReplication/ReplicatedLogMembers.cpp
@@ -6,13 +6,16 @@
   NextJoinRequest_ = S.Now_ + Settings_.ElectionTimeout_;
   for (const MemberId &Each : Settings_.Members_)
     send(Each, JoinRequest{Log_.isEmpty()}, S);
+  for (const MemberId &Each : Contacts_)
+    send(Each, JoinRequest{Log_.isEmpty()}, S);
   formIfAllEmpty(S);
 }
 
 /// The least member forms the log, and only when no configured member can hold
 /// an older one. A member whose disk was lost meets members that are not empty.
 void ReplicatedLog::formIfAllEmpty(Step &S) {
-  if (!Log_.isEmpty() || (!Settings_.Members_.empty() &&
+  if (!Settings_.MayForm_ || !Log_.isEmpty() ||
+      (!Settings_.Members_.empty() &&
                           Settings_.Members_.front() < Settings_.Self_))
     return;
   VoterSet First;
@@ -47,8 +50,18 @@
 void ReplicatedLog::handleBody(const JoinRequest &Request,
                                const ReplicationMessage &Message, Step &S) {
   const Voter &From = Message.From_;
-  if (Joiners_.contains(From.Id_) || Joiners_.size() < GreatestJoiners)
-    Joiners_[From.Id_] = Joiner{From.Generation_, Request.IsEmpty_, S.Now_};
+  std::erase_if(Joiners_, [&](const auto &Each) {
+    return S.Now_ > Each.second.HeardAt_ + Settings_.JoinTimeout_;
+  });
+  if (Joiners_.contains(From.Id_) || Joiners_.size() < GreatestJoiners) {
+    auto [Known, IsNew] = Joiners_.try_emplace(From.Id_);
+    Joiner &Asking = Known->second;
+    if (IsNew || Asking.Generation_ != From.Generation_)
+      Asking.FirstHeardAt_ = S.Now_;
+    Asking.Generation_ = From.Generation_;
+    Asking.IsEmpty_ = Request.IsEmpty_;
+    Asking.HeardAt_ = S.Now_;
+  }
   if (Log_.isEmpty())
     return formIfAllEmpty(S);
   // The first entry may have been lost on its way to a member that it names.
@@ -58,7 +71,27 @@
       send(From.Id_, FormationOffer{Log_.at(LogIndex(1))}, S);
   }
   if (isLeader())
-    replaceLostFolder(From, S);
+    return replaceLostFolder(From, S);
+  // A joining member may know only members that do not lead.
+  if (Leader_ && *Leader_ != From.Id_)
+    S.Out_.push_back(SendReplication{
+        *Leader_, ReplicationMessage{From, Message.Term_, Request}});
+}
+
+void ReplicatedLog::receive(const ContactsLearned &Learned, Step &) {
+  Contacts_.clear();
+  for (const MemberId &Each : Learned.Members_)
+    if (Each != Settings_.Self_ &&
+        std::find(Settings_.Members_.begin(), Settings_.Members_.end(), Each) ==
+            Settings_.Members_.end())
+      Contacts_.push_back(Each);
+}
+
+std::optional<TimePoint> ReplicatedLog::lastHeard(const Voter &Asked) const {
+  auto Found = Progress_.find(Asked);
+  if (!isLeader() || Found == Progress_.end())
+    return std::nullopt;
+  return Found->second.LastHeard_;
 }
 
 void ReplicatedLog::handleBody(const FormationOffer &Offer,
--- a/Libraries/LibReplication/VoterSet.h
+++ b/Libraries/LibReplication/VoterSet.h
@@ -37,7 +37,7 @@
 /// Who votes on the log, sorted. Each step of a replacement adds or removes one
 /// voter, so that majorities before and after it intersect.
 struct VoterSet {
-  static constexpr std::size_t GreatestVoters = 7;
+  static constexpr std::size_t GreatestVoters = 29;
 
   std::vector<Voter> Voters_;
   std::optional<Replacement> Replacement_;
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -50,18 +50,59 @@
                               Incoming.IsForwarded_ ? "forwarded" : ""});
   if (IsDraining_)
     return refuseNew(Received, RefusalReason::Draining, Out);
+  if (Received.Service_.isEmpty())
+    return openByRoute(Incoming, Now, Out);
   const ServiceRouter *Known = Requests_.findService(Received.Service_);
   if (!Known || !Known->policy())
     return refuseNew(Received, RefusalReason::UnknownService, Out);
   const Profile &Rules = Known->policy()->Profile_;
   TimePoint Deadline = Received.Deadline_.value_or(Now + Rules.patience());
-  if (Deadline <= Now)
-    return refuseNew(Received, RefusalReason::DeadlinePassed, Out);
+  open(Incoming, RequestExecution(Incoming.Request_, Rules, Deadline), Now,
+       Out);
+}
+
+void Gateway::openByRoute(const RequestReceived &Incoming, TimePoint Now,
+                          Effects &Out) {
+  const Request &Received = *Incoming.Request_;
+  if (!Routes_)
+    return refuseNew(Received, RefusalReason::NotReady, Out);
+  const Route *Taken =
+      Routes_->find(hostNameOf(Received.Authority_),
+                    std::string_view(Received.Target_)
+                        .substr(0, Received.Target_.find('?')));
+  if (!Taken)
+    return refuseNew(Received, RefusalReason::UnknownService, Out);
+  auto Routed = std::make_shared<Request>(Received);
+  Routed->Service_ = choosePart(*Taken);
+  TimePoint Deadline = Now + Taken->Rules_.patience();
+  if (Received.Deadline_)
+    Deadline = std::min(Deadline, *Received.Deadline_);
+  RequestExecution Started(std::move(Routed), Taken->Rules_, Deadline);
+  Started.limitAttempts(Taken->Values_.GreatestAttempts_);
+  open(Incoming, std::move(Started), Now, Out);
+}
+
+const ServiceName &Gateway::choosePart(const Route &Taken) {
+  std::uint64_t Sum = 0;
+  for (const RoutePart &Part : Taken.Values_.Parts_)
+    Sum += Part.Weight_.value();
+  std::uint64_t Drawn = Random_.below(Sum);
+  for (const RoutePart &Part : Taken.Values_.Parts_) {
+    if (Drawn < Part.Weight_.value())
+      return Part.Service_;
+    Drawn -= Part.Weight_.value();
+  }
+  return Taken.Values_.Parts_.back().Service_;
+}
+
+void Gateway::open(const RequestReceived &Incoming, RequestExecution Started,
+                   TimePoint Now, Effects &Out) {
+  if (Started.deadline() <= Now)
+    return refuseNew(Started.request(), RefusalReason::DeadlinePassed, Out);
   if (Requests_.requestCount() >= Settings_.GreatestRequests_.value() &&
-      !Requests_.makeRoom(Rules.weight(), Now, Out))
-    return refuseNew(Received, RefusalReason::Overloaded, Out);
-  RequestExecution &Opened =
-      Requests_.open(RequestExecution(Incoming.Request_, Rules, Deadline));
+      !Requests_.makeRoom(Started.weight(), Now, Out))
+    return refuseNew(Started.request(), RefusalReason::Overloaded, Out);
+  RequestExecution &Opened = Requests_.open(std::move(Started));
   if (Incoming.IsForwarded_ || !forward(Opened, Now, Out))
     serveHere(Opened, Now, Out);
 }
@@ -81,6 +122,15 @@
   Requests_.configure(Incoming);
 }
 
+void Gateway::on(const RoutingChanged &Incoming, TimePoint /*Now*/,
+                 Effects & /*Out*/) {
+  if (Routes_ && Incoming.Table_->version() < Routes_->version())
+    return;
+  Routes_ = Incoming.Table_;
+  Requests_.configure(
+      CatalogChanged{Routes_->version(), Routes_->policies()});
+}
+
 void Gateway::on(const InstanceChanged &Incoming, TimePoint Now, Effects &Out) {
   const ServiceName &Name = Incoming.Record_.Service_;
   Requests_.service(Name).pool().apply(Incoming.Record_, Now);
@@ -173,7 +223,8 @@
   bool IsCertain = IsRepeatable || !Received.Key_;
   Refusal Refused{
       IsCertain ? Outcome::NotRun : Outcome::Unknown, Reason, std::nullopt, {}};
-  if (Reason == RefusalReason::Draining || Reason == RefusalReason::Overloaded)
+  if (Reason == RefusalReason::Draining ||
+      Reason == RefusalReason::Overloaded || Reason == RefusalReason::NotReady)
     Refused.RetryAfter_ = RetryAfter;
   Out.emplace_back(RecordStep{Received.Id_,
                               StepKind::Refused,
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -34,12 +34,15 @@
 private:
   Gateway(GatewaySettings Settings, RandomSeed Seed)
       : Settings_(std::move(Settings)),
-        Requests_(Settings_.Domain_, Settings_.QueueCapacity_, Seed) {}
+        Requests_(Settings_.Domain_, Settings_.QueueCapacity_,
+                  Settings_.RetryBounds_, Seed),
+        Random_(Seed) {}
 
   void on(const RequestReceived &Incoming, TimePoint Now, Effects &Out);
   void on(const CallerGone &Incoming, TimePoint Now, Effects &Out);
   void on(const AttemptFinished &Incoming, TimePoint Now, Effects &Out);
   void on(const CatalogChanged &Incoming, TimePoint Now, Effects &Out);
+  void on(const RoutingChanged &Incoming, TimePoint Now, Effects &Out);
   void on(const InstanceChanged &Incoming, TimePoint Now, Effects &Out);
   void on(const LoadReported &Incoming, TimePoint Now, Effects &Out);
   void on(const EjectionsChanged &Incoming, TimePoint Now, Effects &Out);
@@ -49,6 +52,13 @@
   void on(const ForwardAnswered &Incoming, TimePoint Now, Effects &Out);
   void on(const DrainStarted &Incoming, TimePoint Now, Effects &Out);
 
+  /// Opens a request whose service and rules are known.
+  void open(const RequestReceived &Incoming, RequestExecution Started,
+            TimePoint Now, Effects &Out);
+  /// Finds the route and the service of a request that names no service.
+  void openByRoute(const RequestReceived &Incoming, TimePoint Now,
+                   Effects &Out);
+  const ServiceName &choosePart(const Route &Taken);
   /// Refuses a request that was never opened.
   void refuseNew(const Request &Received, RefusalReason Reason, Effects &Out);
   /// Forwards the request to a home; false when there is none to forward to.
@@ -58,6 +68,8 @@
   GatewaySettings Settings_;
   bool IsDraining_ = false;
   RequestDispatcher Requests_;
+  std::shared_ptr<const RoutingTable> Routes_;
+  Random Random_;
 };
 
 static_assert(DecisionRole<Gateway>);
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibExchange/Answer.h>
 #include <LibExchange/Request.h>
+#include <LibProfile/RoutingTable.h>
 #include <LibProfile/ServicePolicy.h>
 #include <LibUpstream/AttemptOutcome.h>
 #include <LibUpstream/InstanceRecord.h>
@@ -40,6 +41,12 @@
   std::vector<ServicePolicy> Policies_;
 };
 
+/// A newer routing table is in force; it decides for requests that name no
+/// service.
+struct RoutingChanged {
+  std::shared_ptr<const RoutingTable> Table_;
+};
+
 struct InstanceChanged {
   InstanceRecord Record_;
 };
@@ -89,7 +96,7 @@
 
 using GatewayEvent =
     std::variant<RequestReceived, CallerGone, AttemptFinished, CatalogChanged,
-                 InstanceChanged, LoadReported, EjectionsChanged,
+                 RoutingChanged, InstanceChanged, LoadReported, EjectionsChanged,
                  FingerprintsQuarantined, ClaimDecided, HomesChanged,
                  ForwardAnswered, DrainStarted>;
 
--- a/Libraries/LibRouting/GatewaySettings.h
+++ b/Libraries/LibRouting/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Units.h>
+#include <LibRouting/RetryBudget.h>
 
 namespace jaybridge {
 
@@ -13,6 +14,8 @@
   EventCount GreatestRequests_ = EventCount(20000);
   /// Requests of all services that may wait for an instance.
   EventCount QueueCapacity_ = EventCount(2000);
+  /// For each service of this gateway.
+  RetryBudgetBounds RetryBounds_;
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -96,7 +96,7 @@
 } // namespace
 
 ServiceRouter &RequestDispatcher::service(const ServiceName &Name) {
-  return Services_.try_emplace(Name, Own_).first->second;
+  return Services_.try_emplace(Name, Own_, RetryBounds_).first->second;
 }
 
 const ServiceRouter *
@@ -243,7 +243,10 @@
   if (!Taken)
     return;
   const AttemptOutcome &Result = Ended.Outcome_;
-  service(Taken->Service_).finishAttempt(Taken->Instance_, Result, Now);
+  ServiceRouter &Router = service(Taken->Service_);
+  Router.finishAttempt(Taken->Instance_, Result, Now);
+  if (Result.Busy_)
+    Router.pool().report(Taken->Instance_, *Result.Busy_, Now);
   Out.emplace_back(ObserveAttempt{Taken->Service_, Taken->Instance_,
                                   Result.Result_, Result.Response_.Status_,
                                   Result.Elapsed_, Taken->Fingerprint_});
@@ -276,8 +279,11 @@
   if (HasLive)
     return;
   bool IsInTime = Now < Running.deadline();
+  // Without a connection the service got nothing that a budget protects it from.
+  bool IsFree = Ended.Result_ == AttemptResult::ConnectFailed;
   if (IsInTime && Running.canDispatch() &&
-      service(Running.request().Service_).budget().withdrawRetry()) {
+      (IsFree ||
+       service(Running.request().Service_).budget().withdrawRetry())) {
     recordStep(Running, StepKind::Retried, resultName(Ended.Result_), Out);
     return place(Running, Now, Out);
   }
--- a/Libraries/LibRouting/RequestDispatcher.h
+++ b/Libraries/LibRouting/RequestDispatcher.h
@@ -18,8 +18,9 @@
   using Effects = std::vector<GatewayEffect>;
 
   RequestDispatcher(FailureDomain Own, EventCount QueueCapacity,
-                    RandomSeed Seed)
-      : Own_(std::move(Own)), Queue_(QueueCapacity), Choices_(Seed) {}
+                    RetryBudgetBounds RetryBounds, RandomSeed Seed)
+      : Own_(std::move(Own)), RetryBounds_(RetryBounds), Queue_(QueueCapacity),
+        Choices_(Seed) {}
 
   /// The service's state, created when it is new.
   ServiceRouter &service(const ServiceName &Name);
@@ -76,6 +77,7 @@
   void noteDeadline(const ServiceName &Name, ServiceRouter &Router);
 
   FailureDomain Own_;
+  RetryBudgetBounds RetryBounds_;
   ConfigurationVersion Version_;
   AdmissionQueue Queue_;
   PowerOfTwoChoices Choices_;
--- a/Libraries/LibRouting/RequestExecution.cpp
+++ b/Libraries/LibRouting/RequestExecution.cpp
@@ -17,7 +17,7 @@
     return false;
   if (NeedsClaim_ && !IsClaimed_)
     return false;
-  if (Tried_.size() >= GreatestAttempts ||
+  if (Tried_.size() >= GreatestAttempts || Arrived_ >= AttemptLimit_.value() ||
       LostAttempts_ >= GreatestLostAttempts)
     return false;
   return IsRepeatable_ || (!MayHaveRun_ && Live_.empty());
@@ -28,13 +28,16 @@
   JAYBRIDGE_VERIFY(canDispatch());
   Live_.push_back(Attempt);
   Tried_.push_back(Instance);
+  ++Arrived_;
   Phase_ = Phase::Running;
 }
 
 void RequestExecution::endAttempt(AttemptId Attempt, AttemptResult Result) {
   auto Removed = std::erase(Live_, Attempt);
   JAYBRIDGE_VERIFY(Removed == 1);
-  if (!isProvablyNotRun(Result))
+  if (isProvablyNotRun(Result))
+    --Arrived_;
+  else
     MayHaveRun_ = true;
   if (Result == AttemptResult::ConnectionLost)
     ++LostAttempts_;
--- a/Libraries/LibRouting/RequestExecution.h
+++ b/Libraries/LibRouting/RequestExecution.h
@@ -40,6 +40,8 @@
   void setPhase(Phase Next) { Phase_ = Next; }
   void grantClaim() { IsClaimed_ = true; }
 
+  /// Bounds the instances that may run the request below GreatestAttempts.
+  void limitAttempts(AttemptCount Limit) { AttemptLimit_ = Limit; }
   /// Another dispatch cannot make the request run twice against its profile.
   bool canDispatch() const;
   void beginAttempt(AttemptId Attempt, const InstanceId &Instance);
@@ -75,6 +77,9 @@
   Phase Phase_ = Phase::Waiting;
   std::vector<AttemptId> Live_;
   std::vector<InstanceId> Tried_;
+  /// Attempts that an instance may have run.
+  std::size_t Arrived_ = 0;
+  AttemptCount AttemptLimit_{GreatestAttempts};
   std::size_t LostAttempts_ = 0;
   MemberId Home_;
   std::size_t Forwards_ = 0;
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -14,19 +14,19 @@
 
 } // namespace
 
-RetryBudget::RetryBudget(Percentage Share)
-    : Share_(Share), Balance_(inHundredths(Reserve)) {}
+RetryBudget::RetryBudget(Percentage Share, RetryBudgetBounds Bounds)
+    : Share_(Share), Bounds_(Bounds), Balance_(inHundredths(Bounds.Reserve_)) {}
 
 void RetryBudget::setShare(Percentage Share) { Share_ = Share; }
 
 void RetryBudget::depositFirstAttempt() {
   Balance_ =
-      std::min(inHundredths(Greatest), Balance_ + EventCount(Share_.value()));
+      std::min(inHundredths(Bounds_.Greatest_), Balance_ + EventCount(Share_.value()));
 }
 
 bool RetryBudget::withdrawRetry() { return withdraw(EventCount(0)); }
 
-bool RetryBudget::withdrawHedge() { return withdraw(inHundredths(Reserve)); }
+bool RetryBudget::withdrawHedge() { return withdraw(inHundredths(Bounds_.Reserve_)); }
 
 bool RetryBudget::withdraw(EventCount Kept) {
   constexpr EventCount Price(HundredthsPerRetry);
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -4,17 +4,19 @@
 
 namespace jaybridge {
 
+struct RetryBudgetBounds {
+  /// Retries permitted before the first attempts have paid for any.
+  EventCount Reserve_{10};
+  /// Unused share is kept up to this many retries.
+  EventCount Greatest_{100};
+};
+
 /// Bounds retries and hedges of a service to a share of its first attempts and
 /// a small reserve. Each gateway keeps the bound alone, so the fleet keeps the
 /// sum without messages.
 class RetryBudget {
 public:
-  /// Retries permitted before the first attempts have paid for any.
-  static constexpr EventCount Reserve{10};
-  /// Unused share is kept up to this many retries.
-  static constexpr EventCount Greatest{100};
-
-  explicit RetryBudget(Percentage Share);
+  explicit RetryBudget(Percentage Share, RetryBudgetBounds Bounds = {});
 
   /// A share of 0 permits none. The balance stays within the bounds.
   void setShare(Percentage Share);
@@ -29,6 +31,7 @@
   bool withdraw(EventCount Kept);
 
   Percentage Share_;
+  RetryBudgetBounds Bounds_;
   /// In hundredths of a retry.
   EventCount Balance_;
 };
--- a/Libraries/LibRouting/ServiceRouter.h
+++ b/Libraries/LibRouting/ServiceRouter.h
@@ -15,7 +15,8 @@
 /// budget for retries and its homes.
 class ServiceRouter {
 public:
-  explicit ServiceRouter(FailureDomain Own) : Pool_(std::move(Own)) {}
+  explicit ServiceRouter(FailureDomain Own, RetryBudgetBounds Bounds = {})
+      : Pool_(std::move(Own)), Budget_(Percentage(0), Bounds) {}
 
   /// No policy means that the service is unknown.
   void setPolicy(std::optional<ServicePolicy> Policy);
@@ -47,7 +48,7 @@
 private:
   std::optional<ServicePolicy> Policy_;
   UpstreamPool Pool_;
-  RetryBudget Budget_{Percentage(0)};
+  RetryBudget Budget_;
   HedgePolicy Hedging_;
   std::vector<MemberId> Homes_;
   std::map<MemberId, TimePoint> LostUntil_;
--- a/Libraries/LibSettings/Flags.cpp
+++ b/Libraries/LibSettings/Flags.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 // Numbers are text as well, so that errors name the permitted range.
+DEFINE_string(duty, "", "all, gateway or control");
 DEFINE_string(member_id, "", "id of this daemon, unique in the fleet");
 DEFINE_string(failure_domain, "", "failure domain of this VM");
 DEFINE_string(caller_address, "", "listening address for callers");
@@ -14,6 +15,13 @@
 DEFINE_string(advertise_peer_address, "",
               "address at which other daemons reach this one");
 DEFINE_string(seeds, "", "peer addresses of some daemons, A.B.C.D:PORT,...");
+DEFINE_string(seed_peer_port, "",
+              "peers' port at the seeds, when they name another listener's");
+DEFINE_string(status_address, "", "listening address for readiness and metrics");
+DEFINE_string(first_start, "", "true when the whole system starts afresh");
+DEFINE_string(open_listeners, "",
+              "true when operators, upstreams and peers need no token");
+DEFINE_string(grace_ms, "", "time from a stop to a forced end, milliseconds");
 DEFINE_string(data_folder, "", "makes this daemon a control member");
 DEFINE_string(address_file, "", "file for the addresses in use");
 DEFINE_string(control_members, "", "ids of the control members, ID,...");
@@ -30,7 +38,13 @@
 
 namespace {
 
-constexpr const char *Flags[] = {"member-id",
+constexpr const char *Flags[] = {"duty",
+                                 "member-id",
+                                 "seed-peer-port",
+                                 "status-address",
+                                 "first-start",
+                                 "open-listeners",
+                                 "grace-ms",
                                  "failure-domain",
                                  "caller-address",
                                  "announce-address",
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -28,6 +28,8 @@
                                    1073741824};
 constexpr NumberRange AnswerRange = {"answer-limit-bytes", 4194304, 1024,
                                      1073741824};
+constexpr NumberRange PortRange = {"seed-peer-port", 0, 0, 65535};
+constexpr NumberRange GraceRange = {"grace-ms", 300000, 100, 86400000};
 constexpr NumberRange QueueRange = {"queue-limit", 4096, 1, 1000000};
 
 /// Reads the values one after the other and keeps the first error.
@@ -102,6 +104,17 @@
     return Read.value_or(LogLevel::Info);
   }
 
+  DaemonDuty duty(const std::string &Flag) {
+    const std::string Value = text(Flag, "all");
+    if (Value == "gateway")
+      return DaemonDuty::Gateway;
+    if (Value == "control")
+      return DaemonDuty::Control;
+    if (Value != "all")
+      fail(invalid(Flag, Value, "all, gateway or control"));
+    return DaemonDuty::All;
+  }
+
   bool boolean(const std::string &Flag) {
     const std::string Value = text(Flag, "false");
     if (Value != "true" && Value != "false")
@@ -147,7 +160,11 @@
 };
 
 void checkControlMember(Reader &From, const Settings &Read) {
-  if (!Read.DataFolder_)
+  if (Read.Duty_ == DaemonDuty::Control && !Read.DataFolder_)
+    From.fail(invalid("data-folder", "", "given for the duty control"));
+  if (Read.Duty_ != DaemonDuty::All && Read.Seeds_.empty())
+    From.fail(invalid("seeds", "", "given for this duty"));
+  if (!Read.DataFolder_ || Read.Duty_ != DaemonDuty::All)
     return;
   const auto &Members = Read.ControlMembers_;
   const bool IsListed =
@@ -163,6 +180,7 @@
 Result<Settings> Settings::create(const SettingsText &Text) {
   Reader From(Text);
   Settings Read;
+  Read.Duty_ = From.duty("duty");
   Read.Member_ = MemberId(From.name("member-id"));
   Read.Domain_ = FailureDomain(From.name("failure-domain"));
   Read.CallerAddress_ = From.address("caller-address", "127.0.0.1:8080");
@@ -175,9 +193,17 @@
   if (const std::string Folder = From.text("data-folder"); !Folder.empty())
     Read.DataFolder_ = Folder;
   Read.ControlMembers_ = From.members("control-members");
-  Read.OperatorTokenFile_ = From.path("operator-token-file");
-  Read.AnnounceTokenFile_ = From.path("announce-token-file");
-  Read.PeerTokenFile_ = From.path("peer-token-file");
+  if (auto Number = From.number(PortRange); Number > 0)
+    Read.SeedPeerPort_ = Port(static_cast<std::uint16_t>(Number));
+  Read.StatusAddress_ = From.address("status-address", "127.0.0.1:8084");
+  Read.IsFirstStart_ = From.boolean("first-start");
+  Read.HasOpenListeners_ = From.boolean("open-listeners");
+  Read.Grace_ = std::chrono::milliseconds(From.number(GraceRange));
+  if (!Read.HasOpenListeners_) {
+    Read.OperatorTokenFile_ = From.path("operator-token-file");
+    Read.AnnounceTokenFile_ = From.path("announce-token-file");
+    Read.PeerTokenFile_ = From.path("peer-token-file");
+  }
   Read.BodyLimit_ = ByteCount(From.number(BodyRange));
   Read.AnswerLimit_ = ByteCount(From.number(AnswerRange));
   Read.QueueLimit_ =
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Identifiers.h>
 #include <LibCore/Result.h>
+#include <LibCore/Time.h>
 #include <LibLog/Log.h>
 
 #include <functional>
@@ -18,8 +19,19 @@
 /// Values by flag name, such as "member-id"; absent means the default.
 using SettingsText = std::map<std::string, std::string>;
 
+/// Which of the system's duties a daemon has.
+enum class DaemonDuty {
+  /// Each duty; the fleet finds its instances by gossip.
+  All,
+  /// Serves callers and follows the control members.
+  Gateway,
+  /// Holds the configuration and the registry of instances.
+  Control,
+};
+
 /// What a daemon is told at its start.
 struct Settings {
+  DaemonDuty Duty_ = DaemonDuty::All;
   MemberId Member_;
   FailureDomain Domain_;
   Endpoint CallerAddress_;
@@ -29,6 +41,16 @@
   /// Where peers reach this daemon; PeerAddress_ unless given.
   Endpoint AdvertisedPeerAddress_;
   std::vector<Endpoint> Seeds_;
+  /// The peers' port at the seeds, when they name another listener's.
+  std::optional<Port> SeedPeerPort_;
+  /// Readiness and metrics of a gateway.
+  Endpoint StatusAddress_;
+  /// Whether the whole system starts for the first time.
+  bool IsFirstStart_ = false;
+  /// Whether operators, upstreams and peers need no token.
+  bool HasOpenListeners_ = false;
+  /// From the request to stop until the process is ended by force.
+  Duration Grace_{};
   /// Set for control members.
   std::optional<std::string> DataFolder_;
   /// Their addresses are learnt from the fleet.
--- a/Libraries/LibTransport/SocketOptions.h
+++ b/Libraries/LibTransport/SocketOptions.h
@@ -17,7 +17,9 @@
 /// tries again at growing intervals for about 15 minutes, and a peer stays cut
 /// off long after a partition has healed.
 inline void limitSilence(asio::ip::tcp::socket &Socket) {
-  constexpr std::chrono::milliseconds UnacknowledgedLimit = 3s;
+  // Less than the time in which a member has to be back in contact after a
+  // partition; retransmissions alone may take several seconds to resume.
+  constexpr std::chrono::milliseconds UnacknowledgedLimit = 1200ms;
   constexpr int IdleSeconds = 20;
   constexpr int ProbeSeconds = 5;
   constexpr int Probes = 3;
--- a/Libraries/LibUpstream/AttemptOutcome.h
+++ b/Libraries/LibUpstream/AttemptOutcome.h
@@ -3,6 +3,8 @@
 #include <LibCore/Time.h>
 #include <LibExchange/Answer.h>
 
+#include <optional>
+
 namespace jaybridge {
 
 enum class AttemptResult {
@@ -31,6 +33,8 @@
   AttemptResult Result_ = AttemptResult::ConnectionLost;
   /// Set when Result_ is Answered or RefusedNotRun.
   Response Response_;
+  /// Requests that the instance had, waiting ones included, by its own word.
+  std::optional<SlotCount> Busy_;
   Duration Elapsed_{};
 };
 
--- a/Libraries/LibWire/Envelope.h
+++ b/Libraries/LibWire/Envelope.h
@@ -21,11 +21,12 @@
   Configuration = 10,
   LedgerReply = 11,
   EjectionAnswer = 12,
+  Subscription = 13,
 };
 
 constexpr bool isMessageKind(std::uint8_t Number) {
   return Number >= static_cast<std::uint8_t>(MessageKind::Replication) &&
-         Number <= static_cast<std::uint8_t>(MessageKind::EjectionAnswer);
+         Number <= static_cast<std::uint8_t>(MessageKind::Subscription);
 }
 
 /// A message between daemons as the transport carries it.
--- /dev/null
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -0,0 +1,276 @@
+#include <LibWire/RegistryCodec.h>
+
+#include <LibCore/DecisionRole.h>
+
+#include <nlohmann/json.hpp>
+
+namespace jaybridge {
+
+namespace {
+
+using nlohmann::json;
+
+/// First element of each encoded message or command: which one it is.
+enum class Tag : unsigned {
+  Subscribe = 1,
+  EvidenceReported,
+  RegistryUpdated,
+  RegistryCurrent,
+  FollowerReported,
+  LeaderJudged,
+  StoredDocument,
+  StoreInstance,
+  RemoveInstance,
+};
+
+std::string bytesOf(const json &Value) {
+  std::string Bytes;
+  json::to_cbor(Value, Bytes);
+  return Bytes;
+}
+
+/// Passes the decoded value to Read; malformed content is `Damaged`.
+template <typename Value, typename Function>
+Result<Value> readBytes(std::string_view Bytes, Function Read) {
+  try {
+    return Result<Value>(Read(json::from_cbor(Bytes)));
+  } catch (const json::exception &Failure) {
+    return Error{ErrorCode::Damaged,
+                 std::string("message is damaged: ") + Failure.what(),
+                 {}};
+  }
+}
+
+json tagged(Tag Kind) { return json::array({static_cast<unsigned>(Kind)}); }
+
+Tag tagOf(const json &Value) {
+  return static_cast<Tag>(Value.at(0).get<unsigned>());
+}
+
+json write(const InstanceRecord &Record) {
+  return json::array({Record.Id_.text(), Record.Service_.text(),
+                      Record.Address_.address(), Record.Address_.port().value(),
+                      Record.Domain_.text(), Record.Slots_.value(),
+                      static_cast<unsigned>(Record.State_),
+                      Record.Version_.value()});
+}
+
+InstanceRecord readInstance(const json &Value) {
+  InstanceRecord Record;
+  Record.Id_ = InstanceId(Value.at(0).get<std::string>());
+  Record.Service_ = ServiceName(Value.at(1).get<std::string>());
+  auto Address = Endpoint::create(Value.at(2).get<std::string>(),
+                                  Port(Value.at(3).get<std::uint16_t>()));
+  if (!Address)
+    throw json::other_error::create(501, Address.error().Message_, nullptr);
+  Record.Address_ = Address.takeValue();
+  Record.Domain_ = FailureDomain(Value.at(4).get<std::string>());
+  Record.Slots_ = SlotCount(Value.at(5).get<std::uint32_t>());
+  Record.State_ = static_cast<InstanceState>(Value.at(6).get<unsigned>());
+  Record.Version_ = Incarnation(Value.at(7).get<std::uint64_t>());
+  return Record;
+}
+
+json write(const InstanceId &Id) { return Id.text(); }
+InstanceId readInstanceId(const json &Value) {
+  return InstanceId(Value.get<std::string>());
+}
+
+json write(const AttemptTally &Seen) {
+  return json::array({Seen.Id_.text(), Seen.Failures_.value(),
+                      Seen.Successes_.value()});
+}
+AttemptTally readEvidence(const json &Value) {
+  return {InstanceId(Value.at(0).get<std::string>()),
+          EventCount(Value.at(1).get<std::uint64_t>()),
+          EventCount(Value.at(2).get<std::uint64_t>())};
+}
+
+json write(const ControlMember &Member) {
+  return json::array({Member.Id_.text(), Member.Domain_.text()});
+}
+ControlMember readMember(const json &Value) {
+  return {MemberId(Value.at(0).get<std::string>()),
+          FailureDomain(Value.at(1).get<std::string>())};
+}
+
+json write(const DepartedInstance &Gone) {
+  return json::array({Gone.Id_.text(), Gone.UpTo_.value()});
+}
+DepartedInstance readDeparted(const json &Value) {
+  return {InstanceId(Value.at(0).get<std::string>()),
+          Incarnation(Value.at(1).get<std::uint64_t>())};
+}
+
+template <typename Item> json writeAll(const std::vector<Item> &Items) {
+  json List = json::array();
+  for (const Item &Each : Items)
+    List.push_back(write(Each));
+  return List;
+}
+template <typename Item>
+std::vector<Item> readAll(const json &List, Item (*Read)(const json &)) {
+  std::vector<Item> Items;
+  for (const json &Each : List)
+    Items.push_back(Read(Each));
+  return Items;
+}
+
+json write(const std::optional<StoredDocument> &Document) {
+  if (!Document)
+    return nullptr;
+  return json::array({Document->Version_.value(), Document->Text_});
+}
+std::optional<StoredDocument> readDocument(const json &Value) {
+  if (Value.is_null())
+    return std::nullopt;
+  return StoredDocument{ConfigurationVersion(Value.at(0).get<std::uint64_t>()),
+                        Value.at(1).get<std::string>()};
+}
+
+std::optional<LogIndex> readIndex(const json &Value) {
+  if (Value.is_null())
+    return std::nullopt;
+  return LogIndex(Value.get<std::uint64_t>());
+}
+
+SubscriptionMessage readMessage(const json &Value) {
+  switch (tagOf(Value)) {
+  case Tag::Subscribe:
+    return Subscribe{LogIndex(Value.at(1).get<std::uint64_t>()),
+                     ConfigurationVersion(Value.at(2).get<std::uint64_t>())};
+  case Tag::EvidenceReported:
+    return EvidenceReported{readAll(Value.at(1), readEvidence)};
+  case Tag::RegistryUpdated:
+    return RegistryUpdated{readIndex(Value.at(1)),
+                           LogIndex(Value.at(2).get<std::uint64_t>()),
+                           readDocument(Value.at(3)),
+                           readAll(Value.at(4), readInstance),
+                           readAll(Value.at(5), readMember)};
+  case Tag::RegistryCurrent:
+    return RegistryCurrent{LogIndex(Value.at(1).get<std::uint64_t>()),
+                           readAll(Value.at(2), readInstanceId)};
+  case Tag::FollowerReported:
+    return FollowerReported{FailureDomain(Value.at(1).get<std::string>()),
+                            readAll(Value.at(2), readInstanceId),
+                            readAll(Value.at(3), readEvidence)};
+  case Tag::LeaderJudged:
+    return LeaderJudged{readAll(Value.at(1), readInstanceId),
+                        readAll(Value.at(2), readMember)};
+  default:
+    throw json::other_error::create(501, "unknown kind of message", nullptr);
+  }
+}
+
+RegistryCommand readCommand(const json &Value) {
+  switch (tagOf(Value)) {
+  case Tag::StoredDocument:
+    return readDocument(Value.at(1)).value();
+  case Tag::StoreInstance:
+    return StoreInstance{readInstance(Value.at(1))};
+  case Tag::RemoveInstance:
+    return RemoveInstance{InstanceId(Value.at(1).get<std::string>()),
+                          Incarnation(Value.at(2).get<std::uint64_t>())};
+  default:
+    throw json::other_error::create(501, "unknown kind of command", nullptr);
+  }
+}
+
+} // namespace
+
+std::string encodeSubscription(const SubscriptionMessage &Message) {
+  json Value = std::visit(
+      Overloaded{
+          [](const Subscribe &Each) {
+            json List = tagged(Tag::Subscribe);
+            List.push_back(Each.Revision_.value());
+            List.push_back(Each.Version_.value());
+            return List;
+          },
+          [](const EvidenceReported &Each) {
+            json List = tagged(Tag::EvidenceReported);
+            List.push_back(writeAll(Each.Instances_));
+            return List;
+          },
+          [](const RegistryUpdated &Each) {
+            json List = tagged(Tag::RegistryUpdated);
+            List.push_back(Each.Since_ ? json(Each.Since_->value())
+                                       : json(nullptr));
+            List.push_back(Each.Revision_.value());
+            List.push_back(write(Each.Document_));
+            List.push_back(writeAll(Each.Instances_));
+            List.push_back(writeAll(Each.Members_));
+            return List;
+          },
+          [](const RegistryCurrent &Each) {
+            json List = tagged(Tag::RegistryCurrent);
+            List.push_back(Each.Revision_.value());
+            List.push_back(writeAll(Each.Suspects_));
+            return List;
+          },
+          [](const FollowerReported &Each) {
+            json List = tagged(Tag::FollowerReported);
+            List.push_back(Each.Domain_.text());
+            List.push_back(writeAll(Each.Announced_));
+            List.push_back(writeAll(Each.Instances_));
+            return List;
+          },
+          [](const LeaderJudged &Each) {
+            json List = tagged(Tag::LeaderJudged);
+            List.push_back(writeAll(Each.Suspects_));
+            List.push_back(writeAll(Each.Members_));
+            return List;
+          },
+      },
+      Message);
+  return bytesOf(Value);
+}
+
+Result<SubscriptionMessage> decodeSubscription(std::string_view Bytes) {
+  return readBytes<SubscriptionMessage>(Bytes, readMessage);
+}
+
+std::string RegistryWireCodec::encodeCommand(const RegistryCommand &Command) {
+  json Value = std::visit(
+      Overloaded{
+          [](const StoredDocument &Each) {
+            json List = tagged(Tag::StoredDocument);
+            List.push_back(write(std::optional<StoredDocument>(Each)));
+            return List;
+          },
+          [](const StoreInstance &Each) {
+            json List = tagged(Tag::StoreInstance);
+            List.push_back(write(Each.Record_));
+            return List;
+          },
+          [](const RemoveInstance &Each) {
+            json List = tagged(Tag::RemoveInstance);
+            List.push_back(Each.Id_.text());
+            List.push_back(Each.UpTo_.value());
+            return List;
+          },
+      },
+      Command);
+  return bytesOf(Value);
+}
+
+Result<RegistryCommand>
+RegistryWireCodec::decodeCommand(const std::string &Bytes) {
+  return readBytes<RegistryCommand>(Bytes, readCommand);
+}
+
+std::string RegistryWireCodec::encodeState(const RegistryState &State) {
+  return bytesOf(json::array({write(State.Document_),
+                              writeAll(State.Instances_),
+                              writeAll(State.Departed_)}));
+}
+
+Result<RegistryState> RegistryWireCodec::decodeState(const std::string &Bytes) {
+  return readBytes<RegistryState>(Bytes, [](const json &Value) {
+    return RegistryState{readDocument(Value.at(0)),
+                         readAll(Value.at(1), readInstance),
+                         readAll(Value.at(2), readDeparted)};
+  });
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibWire/RegistryCodec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibRegistry/ServiceRegistry.h>
+#include <LibRegistry/SubscriptionMessages.h>
+
+#include <LibCore/Result.h>
+
+#include <string>
+#include <string_view>
+
+namespace jaybridge {
+
+/// Messages between gateways and control members, as CBOR (RFC 8949). Decoding
+/// fails with Damaged.
+std::string encodeSubscription(const SubscriptionMessage &Message);
+Result<SubscriptionMessage> decodeSubscription(std::string_view Bytes);
+
+/// Commands and snapshots of the registry's replicated log, as CBOR.
+struct RegistryWireCodec {
+  static std::string encodeCommand(const RegistryCommand &Command);
+  static Result<RegistryCommand> decodeCommand(const std::string &Bytes);
+  static std::string encodeState(const RegistryState &State);
+  static Result<RegistryState> decodeState(const std::string &Bytes);
+};
+
+} // namespace jaybridge
--- a/Meta/CMake/Package.cmake
+++ b/Meta/CMake/Package.cmake
@@ -3,7 +3,10 @@
 # packages and the standard library.
 
 set(JAYBRIDGE_WARNINGS -Wno-unknown-warning-option -Wall -Wextra -Wpedantic -Wshadow=local -Wnon-virtual-dtor
-    -Wconversion -Wno-sign-conversion -Werror)
+    -Wconversion -Wno-sign-conversion)
+if(JAYBRIDGE_WARNINGS_AS_ERRORS)
+  list(APPEND JAYBRIDGE_WARNINGS -Werror)
+endif()
 
 # Makes "#include <LibX/Header.h>" resolve for LibX alone.
 function(_jaybridge_include_root NAME OUT)
--- a/Services/jaybridged/PeerLink.cpp
+++ b/Services/jaybridged/PeerLink.cpp
@@ -7,6 +7,7 @@
 #include <LibWire/LeaseCodec.h>
 #include <LibWire/LedgerCodec.h>
 #include <LibWire/MembershipCodec.h>
+#include <LibWire/RegistryCodec.h>
 #include <LibWire/ReplicationCodec.h>
 
 namespace jaybridge {
@@ -103,10 +104,16 @@
                  encodeTraceMessage);
 }
 
+bool PeerLink::send(const MemberId &To, const SubscriptionMessage &Message) {
+  return deliver(To, Message, Sinks_.Subscription_, MessageKind::Subscription,
+                 encodeSubscription);
+}
+
 template <typename Message>
 void PeerLink::receive(const MemberId &From, Result<Message> Decoded,
                        const std::function<void(MemberId, Message)> &Sink) {
-  if (Decoded)
+  // A daemon without the duty has no sink for its messages.
+  if (Decoded && Sink)
     Sink(From, Decoded.takeValue());
   else
     ++Damaged_;
@@ -145,6 +152,8 @@
                    Sinks_.Forward_);
   case MessageKind::Trace:
     return receive(From, decodeTraceMessage(Payload), Sinks_.Trace_);
+  case MessageKind::Subscription:
+    return receive(From, decodeSubscription(Payload), Sinks_.Subscription_);
   }
 }
 
--- a/Services/jaybridged/PeerLink.h
+++ b/Services/jaybridged/PeerLink.h
@@ -7,6 +7,7 @@
 #include <LibDirectory/SpreadMessages.h>
 #include <LibLease/LeaseMessages.h>
 #include <LibLedger/LedgerMessages.h>
+#include <LibRegistry/SubscriptionMessages.h>
 #include <LibTransport/PeerTransport.h>
 #include <LibWire/ForwardCodec.h>
 
@@ -31,6 +32,7 @@
   std::function<void(MemberId, LedgerReply)> LedgerReply_;
   std::function<void(MemberId, ForwardMessage)> Forward_;
   std::function<void(MemberId, TraceMessage)> Trace_;
+  std::function<void(MemberId, SubscriptionMessage)> Subscription_;
   /// The connection to a daemon failed with messages under way.
   std::function<void(Endpoint)> Lost_;
 };
@@ -70,6 +72,7 @@
   bool send(const MemberId &To, const LedgerReply &Message);
   bool send(const MemberId &To, const ForwardMessage &Message);
   bool send(const MemberId &To, const TraceMessage &Message);
+  bool send(const MemberId &To, const SubscriptionMessage &Message);
 
 private:
   template <typename Message, typename Encode>
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -28,6 +28,8 @@
   });
   CallerSinks Sinks;
   Sinks.Received_ = [&Self](std::shared_ptr<const Request> Received) {
+    if (Self.Outlets_.Received_)
+      Self.Outlets_.Received_(*Received);
     return Self.Decisions_.ring().tryPush(
         GatewayEvent(RequestReceived{std::move(Received), false}));
   };
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -30,6 +30,8 @@
   /// Answer to a request that another daemon forwarded to this one.
   std::function<void(MemberId, AnswerCaller)> AnswerForward_;
   std::function<void(RecordStep)> Record_;
+  /// Told of each request that arrives from a caller; may be empty.
+  std::function<void(const Request &)> Received_;
 };
 
 struct RequestPathCounts {
@@ -61,6 +63,10 @@
   const UpstreamClient &upstreams() const { return *Upstreams_; }
   RequestPathCounts counts() const;
 
+  /// Closes callers' connections after their next answer.
+  void closeAfterAnswers() { Callers_->closeAfterAnswers(); }
+  /// Takes no new connections; requests on open ones are still served.
+  void stopAccepting() { Callers_->stopAccepting(); }
   /// Refuses new requests and waits until those in progress are answered.
   /// False when some were not answered within the limit.
   [[nodiscard]] bool drain(Duration Limit);
--- a/Services/jaybridged/main.cpp
+++ b/Services/jaybridged/main.cpp
@@ -1,5 +1,10 @@
+#include <ControlDaemon.h>
 #include <Daemon.h>
+#include <GatewayDaemon.h>
 
+#include <unistd.h>
+
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -42,6 +47,44 @@
                                             : ExitCode::CutOff;
 }
 
+ExitCode runGateway(const Settings &Given, const sigset_t &Signals) {
+  auto Running = GatewayDaemon::create(Given);
+  if (!Running)
+    return fail(Running.error(), ExitCode::Failure);
+  int Signal = 0;
+  while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP)
+    Running.value()->noteReload();
+  return Running.value()->drain(Given.Grace_) ? ExitCode::Success
+                                              : ExitCode::CutOff;
+}
+
+ExitCode runControl(const Settings &Given, const sigset_t &Signals) {
+  // A member that stopped recovers from its folder when it starts again.
+  std::atomic<bool> IsStopped = false;
+  auto Running = ControlDaemon::create(Given, [&IsStopped] {
+    IsStopped = true;
+    kill(getpid(), SIGTERM);
+  });
+  if (!Running)
+    return fail(Running.error(), ExitCode::Failure);
+  int Signal = 0;
+  while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP)
+    Running.value()->noteReload();
+  return IsStopped ? ExitCode::Failure : ExitCode::Success;
+}
+
+ExitCode runDuty(const Settings &Given, const sigset_t &Signals) {
+  switch (Given.Duty_) {
+  case DaemonDuty::Gateway:
+    return runGateway(Given, Signals);
+  case DaemonDuty::Control:
+    return runControl(Given, Signals);
+  case DaemonDuty::All:
+    break;
+  }
+  return run(Given, Signals);
+}
+
 } // namespace
 } // namespace jaybridge
 
@@ -59,6 +102,8 @@
   sigemptyset(&StopSignals);
   sigaddset(&StopSignals, SIGTERM);
   sigaddset(&StopSignals, SIGINT);
+  if (Given.value().Duty_ != DaemonDuty::All)
+    sigaddset(&StopSignals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &StopSignals, nullptr);
-  return static_cast<int>(run(Given.value(), StopSignals));
+  return static_cast<int>(runDuty(Given.value(), StopSignals));
 }
