LibReplication: Do not take a skipped term for lost entries

Cause: Members5Seed40 stopped a sound member. A follower that refuses a request hints at the end of an earlier term, which may lie before what it acknowledged when the request continued a later entry; the leader took it for a folder that had been set back. Change: only a refused request that continued an acknowledged entry counts.

--- a/Libraries/LibHTTP/CallerListener.h
+++ b/Libraries/LibHTTP/CallerListener.h
@@ -21,7 +21,7 @@
   WallTime StartedAt_;
   ByteCount BodyLimit_{1024UL * 1024};
   ConnectionCount ConnectionLimit_{4096};
-  HeaderDialect Dialect_;
+  HeaderDialect Dialect_{};
 };
 
 /// Where the listener's thread delivers. Neither call may block.
--- a/Libraries/LibHTTP/UpstreamClient.h
+++ b/Libraries/LibHTTP/UpstreamClient.h
@@ -21,7 +21,7 @@
   /// more.
   Duration IdleLimit_ = 20s;
   CommandLimit Commands_{8192};
-  HeaderDialect Dialect_;
+  HeaderDialect Dialect_{};
   /// Without it each attempt opens a connection of its own, so that no late or
   /// extra answer of an earlier attempt can be met.
   bool ReusesConnections_ = true;
--- a/Libraries/LibReplication/FollowerProgress.h
+++ b/Libraries/LibReplication/FollowerProgress.h
@@ -2,6 +2,8 @@
 
 #include <LibReplication/ReplicationMessages.h>
 
+#include <optional>
+
 namespace jaybridge {
 
 /// What a leader knows about one receiver of its log.
@@ -10,6 +12,9 @@
   LogIndex Match_;
   /// Round of the answer that last raised `Match_`.
   ReplicationRound MatchRound_;
+  /// Since this round each request continued an entry up to `Match_`; none when
+  /// the last one continued a later entry.
+  std::optional<ReplicationRound> WithinMatchSince_;
   /// Latest round that was answered.
   ReplicationRound AnsweredRound_;
   TimePoint LastHeard_;
--- a/Libraries/LibReplication/ReplicatedLogLeader.cpp
+++ b/Libraries/LibReplication/ReplicatedLogLeader.cpp
@@ -55,6 +55,10 @@
       Log_.slice(Progress.Next_, GreatestBatch, GreatestBatchSize),
       CommitIndex_, Round_};
   Progress.IsInFlight_ = !Request.Entries_.empty();
+  if (Previous > Progress.Match_)
+    Progress.WithinMatchSince_.reset();
+  else if (!Progress.WithinMatchSince_)
+    Progress.WithinMatchSince_ = Round_;
   // May go out before this member has synced: it counts itself only then.
   sendAtOnce(To.Id_, std::move(Request), S);
 }
@@ -170,9 +174,13 @@
     }
     Progress.Next_ = std::max(Progress.Next_, Progress.Match_.next());
   } else {
-    // The request was sent after the entries had been acknowledged.
+    // The request, sent after the entries had been acknowledged, continued one
+    // of them. A request that continued a later entry may be refused with a
+    // hint that skips a whole term and so lies before the acknowledged ones.
     if (Answer.MatchIndex_ < Progress.Match_ &&
-        Answer.Round_ > Progress.MatchRound_)
+        Answer.Round_ > Progress.MatchRound_ &&
+        Progress.WithinMatchSince_ &&
+        Answer.Round_ >= *Progress.WithinMatchSince_)
       return send(Message.From_.Id_, FolderOutdated{}, S);
     Progress.Next_ =
         std::max(Progress.Match_.next(),
--- a/Libraries/LibRouting/GatewaySettings.h
+++ b/Libraries/LibRouting/GatewaySettings.h
@@ -15,7 +15,7 @@
   /// Requests of all services that may wait for an instance.
   EventCount QueueCapacity_ = EventCount(2000);
   /// For each service of this gateway.
-  RetryBudgetBounds RetryBounds_;
+  RetryBudgetBounds RetryBounds_{};
 };
 
 } // namespace jaybridge
--- a/Tests/LibReplication/TestReplicationFaults.cpp
+++ b/Tests/LibReplication/TestReplicationFaults.cpp
@@ -123,6 +123,9 @@
   std::vector<FaultCase> Cases;
   for (std::uint64_t Seed = 1; Seed <= 40; ++Seed)
     Cases.push_back(FaultCase{Seed % 2 == 0 ? 5U : 3U, Seed});
+  // With these a leader told a sound member that its folder had lost entries.
+  for (std::uint64_t Seed : {86, 154, 264, 295, 869, 1314})
+    Cases.push_back(FaultCase{Seed % 2 == 0 ? 5U : 3U, Seed});
   return Cases;
 }
 
