Tests: Take the round of the lost entries from the request sent

Cause: the test answered round 3, which the leader had sent before the entries were acknowledged; such an answer proves nothing. The request after the acknowledgement has a later round. Change: the answer names the round of the latest request to the member. The checks are the same.

--- a/Tests/LibReplication/TestReplicatedLogSteps.cpp
+++ b/Tests/LibReplication/TestReplicatedLogSteps.cpp
@@ -64,6 +64,17 @@
     ASSERT_TRUE(Log_->isLeader());
     wait(std::chrono::milliseconds(1));
   }
+  /// Round of the latest request that was sent to a member.
+  ReplicationRound lastRoundTo(std::uint64_t Member) const {
+    ReplicationRound Last;
+    for (const ReplicationEffect &Each : Seen_)
+      if (const auto *Sent = std::get_if<SendReplication>(&Each);
+          Sent && Sent->To_ == voter(Member).Id_)
+        if (const auto *Request =
+                std::get_if<AppendRequest>(&Sent->Message_.Body_))
+          Last = Request->Round_;
+    return Last;
+  }
   template <typename Body> std::size_t countSent() const {
     return static_cast<std::size_t>(
         std::count_if(Seen_.begin(), Seen_.end(), [](const auto &Each) {
@@ -146,7 +157,7 @@
   receive(1, AppendAnswer{false, LogIndex(2), ReplicationRound(1)});
   EXPECT_EQ(countSent<FolderOutdated>(), 0U) << "late answer";
   wait(std::chrono::milliseconds(200));
-  receive(1, AppendAnswer{false, LogIndex(2), ReplicationRound(3)});
+  receive(1, AppendAnswer{false, LogIndex(2), lastRoundTo(1)});
   EXPECT_EQ(countSent<FolderOutdated>(), 1U);
   receive(2, FolderOutdated{});
   EXPECT_TRUE(Log_->isStopped());
