--- a/Libraries/LibHTTP/ProblemDocument.cpp
+++ b/Libraries/LibHTTP/ProblemDocument.cpp
@@ -71,8 +71,7 @@
 
 std::string fractionalRetryAfterSeconds(Duration RetryAfter) {
   constexpr long MillisecondsPerSecond = 1000;
-  long Whole =
-      std::chrono::ceil<std::chrono::milliseconds>(RetryAfter).count();
+  long Whole = std::chrono::ceil<std::chrono::milliseconds>(RetryAfter).count();
   std::string Fraction = std::to_string(Whole % MillisecondsPerSecond);
   Fraction.insert(0, 3 - Fraction.size(), '0');
   return std::to_string(Whole / MillisecondsPerSecond) + "." + Fraction;
--- a/Libraries/LibHTTP/RequestReader.cpp
+++ b/Libraries/LibHTTP/RequestReader.cpp
@@ -59,11 +59,9 @@
 
 } // namespace
 
-std::variant<Request, Refusal> readRequest(RequestId Id,
-                                           ReceivedMessage Received,
-                                           ByteCount BodyLimit,
-                                           const HeaderDialect &Dialect,
-                                           TimePoint Now) {
+std::variant<Request, Refusal>
+readRequest(RequestId Id, ReceivedMessage Received, ByteCount BodyLimit,
+            const HeaderDialect &Dialect, TimePoint Now) {
   if (Received.Body_.size() > BodyLimit.value())
     return notRun(RefusalReason::BodyTooLarge,
                   "the body is longer than " +
@@ -108,9 +106,8 @@
     Read.Deadline_ = Now + *Left;
   }
   if (const Header *Given =
-          IsServiceNamed
-              ? findHeader(Received.Headers_, IdempotencyKeyHeader)
-              : nullptr)
+          IsServiceNamed ? findHeader(Received.Headers_, IdempotencyKeyHeader)
+                         : nullptr)
     Read.Key_ = IdempotencyKeyText(Given->Value_);
   Read.Headers_ = std::move(Received.Headers_);
   removeConnectionHeaders(Read.Headers_);
--- a/Libraries/LibHTTP/RequestReader.h
+++ b/Libraries/LibHTTP/RequestReader.h
@@ -22,10 +22,8 @@
 
 /// Turns a received message into a request, or into the refusal for its
 /// caller. The limit applies to the body.
-std::variant<Request, Refusal> readRequest(RequestId Id,
-                                           ReceivedMessage Received,
-                                           ByteCount BodyLimit,
-                                           const HeaderDialect &Dialect,
-                                           TimePoint Now);
+std::variant<Request, Refusal>
+readRequest(RequestId Id, ReceivedMessage Received, ByteCount BodyLimit,
+            const HeaderDialect &Dialect, TimePoint Now);
 
 } // namespace jaybridge
--- a/Libraries/LibLog/Log.cpp
+++ b/Libraries/LibLog/Log.cpp
@@ -91,8 +91,8 @@
 class Log::Output {
 public:
   Output(LogLevel Lowest, const MemberId &Member)
-      : Writer_(std::make_shared<spdlog::details::thread_pool>(WaitingLines,
-                                                               1)),
+      : Writer_(
+            std::make_shared<spdlog::details::thread_pool>(WaitingLines, 1)),
         Logger_(std::make_shared<spdlog::async_logger>(
             Member.text(), std::make_shared<spdlog::sinks::stdout_sink_mt>(),
             Writer_, spdlog::async_overflow_policy::overrun_oldest)) {
@@ -107,9 +107,7 @@
     if (Told_.exchange(Dropped, std::memory_order_relaxed) != Dropped)
       Logger_->warn("event=log-lines-dropped total={}", Dropped);
   }
-  EventCount dropped() const {
-    return EventCount(Writer_->overrun_counter());
-  }
+  EventCount dropped() const { return EventCount(Writer_->overrun_counter()); }
 
 private:
   static constexpr std::size_t WaitingLines = 4096;
--- a/Libraries/LibProfile/RoutingTable.cpp
+++ b/Libraries/LibProfile/RoutingTable.cpp
@@ -22,14 +22,13 @@
   ProfileDraft Draft;
   Draft.Name_ = ProfileName("route");
   Draft.Repeat_ = Values.Repeat_;
-  Draft.Patience_ =
-      std::clamp(Values.Patience_, Profile::LeastPatience,
-                 Profile::GreatestPatience);
+  Draft.Patience_ = std::clamp(Values.Patience_, Profile::LeastPatience,
+                               Profile::GreatestPatience);
   Draft.Floor_ = LeastInUse;
   Draft.RetryBudget_ = RetryShare;
   Draft.HedgingAllowed_ = Values.Repeat_ == Repeatability::Repeatable;
-  Draft.Weight_ = ClassWeight(
-      GreatestRank + 1 - std::min(GreatestRank, Values.Rank_.value()));
+  Draft.Weight_ = ClassWeight(GreatestRank + 1 -
+                              std::min(GreatestRank, Values.Rank_.value()));
   return Draft;
 }
 
--- a/Libraries/LibRegistry/ControlMessages.h
+++ b/Libraries/LibRegistry/ControlMessages.h
@@ -41,7 +41,10 @@
 
 // Effects.
 
-struct Acknowledged {};
+struct Acknowledged {
+  /// A member in the instance's failure domain, for its later announcements.
+  std::optional<MemberId> Nearby_;
+};
 /// The leader knows; this member does not.
 struct AskInstead {
   MemberId Leader_;
--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -7,6 +7,9 @@
 #include <LibRegistry/VoterPolicy.h>
 
 #include <LibCore/DecisionRole.h>
+#include <LibCore/Hash.h>
+
+#include <algorithm>
 
 namespace jaybridge {
 
@@ -73,6 +76,12 @@
   }
 
 private:
+  struct PendingChange {
+    ControlQuery Query_;
+    /// The configuration that the change must bring into force, if it is one.
+    ConfigurationVersion Version_;
+  };
+
   // Replication, writes and their failures.
   void on(const ReplicationMessage &Received, TimePoint Now, Effects &) {
     Log_.handle(Received, Now, LogEffects_);
@@ -86,16 +95,15 @@
 
   // Instances and operators.
   void on(const InstanceAnnouncedItself &Said, TimePoint Now, Effects &Out) {
-    Announced_.insert(Said.Record_.Id_);
-    Board_.noteAnnounced(Said.Record_.Id_, Now);
     if (isCurrent() && !Registry_.isNews(Said.Record_))
-      return answer(Said.Query_, Acknowledged{}, Out);
+      return answer(Said.Query_, Acknowledged{nearbyMember(Said.Record_)},
+                    Out);
     change(Said.Query_, StoreInstance{Said.Record_}, Now, Out);
   }
   void on(const InstanceSaidGoodbye &Said, TimePoint Now, Effects &Out) {
     const InstanceRecord *Known = Registry_.find(Said.Id_);
-    Incarnation UpTo = Said.Version_.value_or(Known ? Known->Version_
-                                                    : Incarnation());
+    Incarnation UpTo =
+        Said.Version_.value_or(Known ? Known->Version_ : Incarnation());
     bool IsGone = !Known || Known->Version_ > UpTo;
     if (Log_.isLeader() && IsGone)
       return answer(Said.Query_, Acknowledged{}, Out);
@@ -104,7 +112,20 @@
   void on(const DocumentOffered &Offered, TimePoint Now, Effects &Out) {
     if (Log_.isLeader() && Offered.Document_.Version_ <= Registry_.version())
       return answer(Offered.Query_, Acknowledged{}, Out);
-    change(Offered.Query_, Offered.Document_, Now, Out);
+    // The log applies commands in order, so that the newest document in it is
+    // in force when this one's turn comes.
+    if (!Newest_ || Newest_->Version_ < Registry_.version())
+      Newest_ = Registry_.document();
+    std::optional<DocumentDelta> Delta;
+    if (Newest_ && Newest_->Version_ < Offered.Document_.Version_)
+      Delta = deltaBetween(*Newest_, Offered.Document_);
+    if (Delta)
+      change(Offered.Query_, std::move(*Delta), Now, Out);
+    else
+      change(Offered.Query_, Offered.Document_, Now, Out);
+    if (Log_.isLeader() &&
+        (!Newest_ || Newest_->Version_ < Offered.Document_.Version_))
+      Newest_ = Offered.Document_;
   }
   void on(const DocumentAsked &Asked, TimePoint Now, Effects &Out) {
     if (refer(Asked.Query_, Out))
@@ -120,10 +141,17 @@
     if (refer(Query, Out))
       return;
     LastProposal_ = LastProposal_.next();
-    Changes_[LastProposal_] = Query;
+    Changes_[LastProposal_] = PendingChange{Query, versionOf(Command)};
     Log_.handle(Propose{LastProposal_, Codec::encodeCommand(Command)}, Now,
                 LogEffects_);
   }
+  static ConfigurationVersion versionOf(const RegistryCommand &Command) {
+    if (const auto *Document = std::get_if<StoredDocument>(&Command))
+      return Document->Version_;
+    if (const auto *Delta = std::get_if<DocumentDelta>(&Command))
+      return Delta->Version_;
+    return {};
+  }
   /// Answers at once when another member has to decide.
   bool refer(ControlQuery Query, Effects &Out) {
     if (Log_.isLeader())
@@ -138,27 +166,24 @@
 
   // Gateways and other control members.
   void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out) {
-    std::visit(
-        Overloaded{
-            [&](const Subscribe &Asked) {
-              subscribe(Received.From_, Asked, Now, Out);
-            },
-            [&](const EvidenceReported &Report) {
-              take(Report.Instances_, Now, Out);
-            },
-            [&](const FollowerReported &Report) {
-              Members_[Received.From_] = Report.Domain_;
-              for (const InstanceId &Each : Report.Announced_)
-                Board_.noteAnnounced(Each, Now);
-              take(Report.Instances_, Now, Out);
-            },
-            [&](const LeaderJudged &Judged) {
-              if (Log_.leader() == Received.From_)
-                follow(Judged, Now, Out);
-            },
-            [](const auto &) {},
-        },
-        Received.Message_);
+    std::visit(Overloaded{
+                   [&](const Subscribe &Asked) {
+                     subscribe(Received.From_, Asked, Now, Out);
+                   },
+                   [&](const EvidenceReported &Report) {
+                     take(Report.Instances_, Now, Out);
+                   },
+                   [&](const FollowerReported &Report) {
+                     Members_[Received.From_] = Report.Domain_;
+                     take(Report.Instances_, Now, Out);
+                   },
+                   [&](const LeaderJudged &Judged) {
+                     if (Log_.leader() == Received.From_)
+                       follow(Judged, Now, Out);
+                   },
+                   [](const auto &) {},
+               },
+               Received.Message_);
   }
 
   void subscribe(const MemberId &From, const Subscribe &Asked, TimePoint Now,
@@ -187,9 +212,8 @@
       Board_.record(Each, Now);
       AttemptTally &Sum = Unreported_[Each.Id_];
       Sum.Id_ = Each.Id_;
-      Sum.Failures_ += Each.Failures_;
-      Sum.Successes_ += Each.Successes_;
-      HasFailure = HasFailure || Each.Failures_ > EventCount(0);
+      Sum += Each;
+      HasFailure = HasFailure || Each.hasFailure();
     }
     if (HasFailure)
       report(Now, Out);
@@ -205,9 +229,13 @@
   void setSuspects(std::vector<InstanceId> Suspects, Effects &Out) {
     if (Suspects == Suspects_)
       return;
+    bool HasNew = !std::includes(Suspects_.begin(), Suspects_.end(),
+                                 Suspects.begin(), Suspects.end());
     Suspects_ = std::move(Suspects);
     Out.emplace_back(SuspectsChanged{Suspects_});
-    tellSubscribers(Out);
+    // The end of a suspicion can wait for the next announcement.
+    if (HasNew)
+      tellSubscribers(Out);
   }
 
   void tellSubscribers(Effects &Out) {
@@ -233,21 +261,17 @@
     NextReport_ = Now + Settings_.ReportInterval_;
     if (Log_.isLeader()) {
       Unreported_.clear();
-      Announced_.clear();
       judge(Now, Out);
-      for (const Voter &Each : Log_.members().Voters_)
-        if (Each.Id_ != Settings_.Self_)
-          send(Each.Id_, LeaderJudged{Suspects_, members()}, Out);
+      if (Now >= NextJudgement_)
+        tellFollowers(Now, Out);
       return;
     }
     if (!Log_.leader())
       return;
     FollowerReported Report;
     Report.Domain_ = Settings_.Domain_;
-    Report.Announced_.assign(Announced_.begin(), Announced_.end());
     for (auto &[Id, Each] : Unreported_)
       Report.Instances_.push_back(std::move(Each));
-    Announced_.clear();
     Unreported_.clear();
     send(*Log_.leader(), std::move(Report), Out);
   }
@@ -259,21 +283,41 @@
     });
     if (Suspected == Suspects_)
       return;
+    bool HasNew = !std::includes(Suspects_.begin(), Suspects_.end(),
+                                 Suspected.begin(), Suspected.end());
     setSuspects(std::move(Suspected), Out);
+    if (HasNew)
+      tellFollowers(Now, Out);
+  }
+
+  void tellFollowers(TimePoint Now, Effects &Out) {
+    NextJudgement_ = Now + Settings_.ReportInterval_;
     for (const Voter &Each : Log_.members().Voters_)
       if (Each.Id_ != Settings_.Self_)
         send(Each.Id_, LeaderJudged{Suspects_, members()}, Out);
   }
 
+  /// Announcements that change nothing stay within the failure domain. The
+  /// members of a domain share its instances.
+  std::optional<MemberId> nearbyMember(const InstanceRecord &Said) const {
+    std::vector<MemberId> Near;
+    for (const ControlMember &Each : members())
+      if (Each.Domain_ == Said.Domain_)
+        Near.push_back(Each.Id_);
+    if (Near.empty())
+      return std::nullopt;
+    return Near[stableHash(Said.Id_.text(), 0) % Near.size()];
+  }
+
   std::vector<ControlMember> members() const {
     std::vector<ControlMember> Known;
     for (const Voter &Each : Log_.members().Voters_) {
       auto Found = Members_.find(Each.Id_);
       bool IsOwn = Each.Id_ == Settings_.Self_;
       Known.push_back(ControlMember{
-          Each.Id_, IsOwn ? Settings_.Domain_
-                          : (Found == Members_.end() ? FailureDomain()
-                                                     : Found->second)});
+          Each.Id_,
+          IsOwn ? Settings_.Domain_
+                : (Found == Members_.end() ? FailureDomain() : Found->second)});
     }
     return Known;
   }
@@ -290,6 +334,9 @@
     bool IsNewLeader = Log_.leader() != KnownLeader_;
     KnownLeader_ = Log_.leader();
     KnownTerm_ = Log_.term();
+    // What an earlier leader appended may be lost.
+    if (IsNewLeader)
+      Newest_.reset();
     if (IsNewLeader)
       Out.emplace_back(LeaderChanged{KnownLeader_, KnownTerm_});
   }
@@ -309,12 +356,15 @@
       Log_.handle(PersistFailed{Command.error()}, Now, LogEffects_);
       return;
     }
+    std::optional<StoredDocument> Before;
+    if (versionOf(Command.value()) > Registry_.version())
+      Before = Registry_.document();
     RegistryChange Change = Registry_.apply(Command.value());
     if (Change.isEmpty())
       return;
-    publish(Committed.Index_, Change, Out);
-    Out.emplace_back(RegistryApplied{Revision_, Registry_.version(),
-                                     Command.takeValue()});
+    publish(Committed.Index_, Before, Change, Out);
+    Out.emplace_back(
+        RegistryApplied{Revision_, Registry_.version(), Command.takeValue()});
   }
   void apply(InstallSnapshot &Install, TimePoint Now, Effects &) {
     auto State = Codec::decodeState(Install.State_);
@@ -335,12 +385,18 @@
     auto Found = Changes_.find(Decided.Id_);
     if (Found == Changes_.end())
       return;
-    ControlQuery Query = Found->second;
+    PendingChange Pending = Found->second;
     Changes_.erase(Found);
-    if (Decided.Answer_)
-      answer(Query, Acknowledged{}, Out);
+    if (!Decided.Answer_)
+      answer(Pending.Query_, NotAvailable{Decided.Answer_.error().Message_},
+             Out);
+    else if (Registry_.version() < Pending.Version_)
+      answer(Pending.Query_,
+             NotAvailable{"the change does not continue the configuration in "
+                          "force"},
+             Out);
     else
-      answer(Query, NotAvailable{Decided.Answer_.error().Message_}, Out);
+      answer(Pending.Query_, Acknowledged{}, Out);
   }
   void apply(ReadAnswer &Decided, TimePoint, Effects &Out) {
     auto Found = Reads_.find(Decided.Id_);
@@ -357,7 +413,8 @@
       answer(Query, *Registry_.document(), Out);
   }
 
-  void publish(LogIndex Revision, RegistryChange &Change, Effects &Out) {
+  void publish(LogIndex Revision, const std::optional<StoredDocument> &Before,
+               RegistryChange &Change, Effects &Out) {
     LogIndex Since = Revision_;
     Revision_ = Revision;
     for (const InstanceRecord &Each : Change.Instances_)
@@ -366,7 +423,9 @@
     RegistryUpdated Update;
     Update.Since_ = Since;
     Update.Revision_ = Revision;
-    if (Change.IsDocumentNew_)
+    if (Change.IsDocumentNew_ && Before)
+      Update.Delta_ = deltaBetween(*Before, *Registry_.document());
+    if (Change.IsDocumentNew_ && !Update.Delta_)
       Update.Document_ = Registry_.document();
     Update.Instances_ = std::move(Change.Instances_);
     for (const auto &[Id, Each] : Subscribers_.all()) {
@@ -396,9 +455,10 @@
   std::vector<InstanceId> Suspects_;
   TimePoint JudgedAt_{};
   std::map<MemberId, FailureDomain> Members_;
-  std::set<InstanceId> Announced_;
   std::map<InstanceId, AttemptTally> Unreported_;
-  std::map<ProposalId, ControlQuery> Changes_;
+  std::map<ProposalId, PendingChange> Changes_;
+  /// The newest document in the log, committed or not.
+  std::optional<StoredDocument> Newest_;
   std::map<ReadId, ControlQuery> Reads_;
   ProposalId LastProposal_;
   ReadId LastRead_;
@@ -406,6 +466,7 @@
   Term KnownTerm_;
   TimePoint NextCurrent_{};
   TimePoint NextReport_{};
+  TimePoint NextJudgement_{};
 };
 
 } // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibRegistry/DocumentDelta.cpp
@@ -0,0 +1,106 @@
+#include <LibRegistry/DocumentDelta.h>
+
+#include <map>
+#include <string_view>
+
+namespace jaybridge {
+
+namespace {
+
+/// What a kept range costs beside the text that it saves.
+constexpr std::size_t RangeCost = 16;
+
+/// Pieces end after a closing brace, where entries of common notations end.
+std::vector<std::string_view> piecesOf(std::string_view Text) {
+  std::vector<std::string_view> Pieces;
+  while (!Text.empty()) {
+    std::size_t End = std::min(Text.find('}'), Text.size() - 1) + 1;
+    Pieces.push_back(Text.substr(0, End));
+    Text.remove_prefix(End);
+  }
+  return Pieces;
+}
+
+class DeltaBuilder {
+public:
+  explicit DeltaBuilder(std::string_view Base) : Base_(Base) {
+    for (std::string_view Piece : piecesOf(Base))
+      Offsets_.try_emplace(Piece, Piece.data() - Base.data());
+  }
+
+  void add(std::string_view Piece) {
+    // The piece that follows the kept ones in the base comes first: equal
+    // pieces may stand in several places.
+    if (KeptRange *Last = lastRange();
+        Last &&
+        Base_.substr(Last->Offset_ + Last->Length_).starts_with(Piece)) {
+      Last->Length_ += Piece.size();
+      return;
+    }
+    if (auto Found = Offsets_.find(Piece); Found != Offsets_.end()) {
+      Parts_.emplace_back(KeptRange{Found->second, Piece.size()});
+      Size_ += RangeCost;
+      return;
+    }
+    Size_ += Piece.size();
+    if (!Parts_.empty())
+      if (auto *Text = std::get_if<std::string>(&Parts_.back())) {
+        *Text += Piece;
+        return;
+      }
+    Parts_.emplace_back(std::string(Piece));
+  }
+
+  std::size_t size() const { return Size_; }
+  std::vector<std::variant<KeptRange, std::string>> take() {
+    return std::move(Parts_);
+  }
+
+private:
+  KeptRange *lastRange() {
+    return Parts_.empty() ? nullptr : std::get_if<KeptRange>(&Parts_.back());
+  }
+
+  std::string_view Base_;
+  std::map<std::string_view, std::uint64_t> Offsets_;
+  std::vector<std::variant<KeptRange, std::string>> Parts_;
+  std::size_t Size_ = 0;
+};
+
+} // namespace
+
+std::optional<DocumentDelta> deltaBetween(const StoredDocument &Base,
+                                          const StoredDocument &Newer) {
+  DeltaBuilder Builder(Base.Text_);
+  for (std::string_view Piece : piecesOf(Newer.Text_))
+    Builder.add(Piece);
+  if (Builder.size() > Newer.Text_.size() / 2)
+    return std::nullopt;
+  return DocumentDelta{Base.Version_, Newer.Version_, Builder.take()};
+}
+
+Result<StoredDocument> applyDelta(const StoredDocument &Base,
+                                  const DocumentDelta &Delta) {
+  if (Base.Version_ != Delta.Base_)
+    return Error{ErrorCode::Conflict,
+                 "the delta continues version " +
+                     std::to_string(Delta.Base_.value()) + ", not " +
+                     std::to_string(Base.Version_.value()),
+                 {}};
+  StoredDocument Newer;
+  Newer.Version_ = Delta.Version_;
+  for (const auto &Part : Delta.Parts_) {
+    if (const auto *Text = std::get_if<std::string>(&Part)) {
+      Newer.Text_ += *Text;
+      continue;
+    }
+    const auto &Range = std::get<KeptRange>(Part);
+    if (Range.Offset_ > Base.Text_.size() ||
+        Range.Length_ > Base.Text_.size() - Range.Offset_)
+      return Error{ErrorCode::Damaged, "the delta exceeds its base", {}};
+    Newer.Text_.append(Base.Text_, Range.Offset_, Range.Length_);
+  }
+  return Newer;
+}
+
+} // namespace jaybridge
--- a/Libraries/LibRegistry/FleetSubscription.cpp
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -10,25 +10,29 @@
 /// renewed.
 constexpr Duration SuspectLifetime = 3s;
 
-bool isFailure(const ObserveAttempt &Seen) {
+/// The outcome as a tally of one; none when it says nothing of the instance.
+std::optional<AttemptTally> tallyOf(const ObserveAttempt &Seen) {
+  AttemptTally Tally;
+  Tally.Id_ = Seen.Instance_;
   switch (Seen.Result_) {
   case AttemptResult::Answered:
-    return Seen.Status_ >= FirstServerError;
+    (Seen.Status_ >= FirstServerError ? Tally.Errors_ : Tally.Successes_) =
+        EventCount(1);
+    return Tally;
   case AttemptResult::ConnectFailed:
+    Tally.Unreachable_ = EventCount(1);
+    return Tally;
   case AttemptResult::ConnectionLost:
   case AttemptResult::CutShort:
   case AttemptResult::TimedOut:
-    return true;
+    Tally.Lost_ = EventCount(1);
+    return Tally;
   case AttemptResult::RefusedNotRun:
   case AttemptResult::TooLarge:
   case AttemptResult::Cancelled:
-    return false;
+    return std::nullopt;
   }
-  return false;
-}
-
-bool isSuccess(const ObserveAttempt &Seen) {
-  return Seen.Result_ == AttemptResult::Answered && !isFailure(Seen);
+  return std::nullopt;
 }
 
 } // namespace
@@ -41,7 +45,8 @@
 }
 
 void FleetSubscriptionState::advance(TimePoint Now, Effects &Out) {
-  if (Now >= GiveUpAt_)
+  if (Now >= GiveUpAt_ ||
+      (Now >= NextRenewal_ && IsConfirmed_ && hasNearerMember(Now)))
     chooseNext(Now, Out);
   else if (Now >= NextRenewal_)
     subscribe(Now, Out);
@@ -49,6 +54,16 @@
     reportEvidence(Out);
 }
 
+std::size_t FleetSubscriptionState::commonPrefix(const MemberId &Member) const {
+  const std::string &Own = Settings_.Self_.address();
+  const std::string &Other = Member.text();
+  std::size_t Shorter = std::min(Own.size(), Other.size());
+  auto [End, Ignored] = std::mismatch(
+      Own.begin(), Own.begin() + static_cast<long>(Shorter), Other.begin());
+  // Up to the last dot, so that host numbers do not count.
+  return static_cast<std::size_t>(std::count(Own.begin(), End, '.'));
+}
+
 std::vector<MemberId> FleetSubscriptionState::candidates() {
   std::vector<MemberId> Near;
   std::vector<MemberId> Far;
@@ -64,6 +79,10 @@
   };
   Shuffle(Near);
   Shuffle(Far);
+  std::stable_sort(Far.begin(), Far.end(),
+                   [this](const MemberId &Left, const MemberId &Right) {
+                     return commonPrefix(Left) > commonPrefix(Right);
+                   });
   Near.insert(Near.end(), Far.begin(), Far.end());
   // Taken from the back.
   std::reverse(Near.begin(), Near.end());
@@ -93,7 +112,21 @@
 void FleetSubscriptionState::subscribe(TimePoint Now, Effects &Out) {
   NextRenewal_ = Now + Settings_.RenewInterval_;
   if (Contact_)
-    Out.emplace_back(SendSubscription{*Contact_, Subscribe{Revision_, Version_}});
+    Out.emplace_back(
+        SendSubscription{*Contact_, Subscribe{Revision_, Version_}});
+}
+
+bool FleetSubscriptionState::hasNearerMember(TimePoint Now) const {
+  if (Now < ConfirmedAt_ + Settings_.SettleTime_)
+    return false;
+  bool IsNear = false;
+  bool HasNear = false;
+  for (const ControlMember &Each : Members_)
+    if (Each.Domain_ == Settings_.Domain_) {
+      HasNear = true;
+      IsNear = IsNear || Each.Id_ == Contact_;
+    }
+  return HasNear && !IsNear;
 }
 
 void FleetSubscriptionState::heard(const MemberId &From, TimePoint Now,
@@ -104,6 +137,7 @@
   if (IsConfirmed_)
     return;
   IsConfirmed_ = true;
+  ConfirmedAt_ = Now;
   Out.emplace_back(ContactChanged{From});
 }
 
@@ -181,14 +215,14 @@
 
 void FleetSubscriptionState::observe(const ObserveAttempt &Seen,
                                      TimePoint Now) {
-  bool IsFailure = isFailure(Seen);
-  if (!IsFailure && !isSuccess(Seen))
+  std::optional<AttemptTally> Tally = tallyOf(Seen);
+  if (!Tally)
     return;
   AttemptTally &Sum = Evidence_[Seen.Instance_];
   Sum.Id_ = Seen.Instance_;
-  (IsFailure ? Sum.Failures_ : Sum.Successes_) += EventCount(1);
-  TimePoint Due = Now + (IsFailure ? Settings_.FailureDelay_
-                                   : Settings_.SuccessDelay_);
+  Sum += *Tally;
+  TimePoint Due = Now + (Tally->hasFailure() ? Settings_.FailureDelay_
+                                             : Settings_.SuccessDelay_);
   ReportAt_ = ReportAt_ ? std::min(*ReportAt_, Due) : Due;
 }
 
--- a/Libraries/LibRegistry/FleetSubscription.h
+++ b/Libraries/LibRegistry/FleetSubscription.h
@@ -14,6 +14,8 @@
 
 struct FleetSubscriptionSettings {
   FailureDomain Domain_;
+  /// Tells which members are likely near before their domains are known.
+  Endpoint Self_;
   /// Control members to ask first.
   std::vector<MemberId> Seeds_;
   /// A member that was not heard for so long is left for another one. Three
@@ -22,6 +24,9 @@
   /// Before the first contact: members start at about the same time.
   Duration FirstContactTimeout_ = 400ms;
   Duration RenewInterval_ = 1s;
+  /// A member in another failure domain is followed at least for so long, so
+  /// that a nearer one that does not answer is not tried all the time.
+  Duration SettleTime_ = 3s;
   /// How long outcomes wait to be reported together.
   Duration SuccessDelay_ = 1s;
   Duration FailureDelay_ = 20ms;
@@ -32,8 +37,8 @@
   std::optional<MemberId> Member_;
 };
 
-using FleetSubscriptionEvent = std::variant<SubscriptionReceived,
-                                            ObserveAttempt>;
+using FleetSubscriptionEvent =
+    std::variant<SubscriptionReceived, ObserveAttempt>;
 using FleetSubscriptionEffect =
     std::variant<SendSubscription, RoutingChanged, InstanceChanged,
                  EjectionsChanged, ContactChanged>;
@@ -67,12 +72,16 @@
 
 private:
   void heard(const MemberId &From, TimePoint Now, Effects &Out);
+  /// A member in the own failure domain is known and is not the one followed.
+  bool hasNearerMember(TimePoint Now) const;
   void chooseNext(TimePoint Now, Effects &Out);
   void subscribe(TimePoint Now, Effects &Out);
   void reportEvidence(Effects &Out);
   void applySuspects(const std::vector<InstanceId> &Suspects, TimePoint Now,
                      Effects &Out);
   std::vector<MemberId> candidates();
+  /// Leading parts of the address that a member shares with this daemon.
+  std::size_t commonPrefix(const MemberId &Member) const;
 
   FleetSubscriptionSettings Settings_;
   Random Random_;
@@ -81,6 +90,7 @@
   std::optional<MemberId> Contact_;
   bool IsConfirmed_ = false;
   bool HadContact_ = false;
+  TimePoint ConfirmedAt_{};
   TimePoint GiveUpAt_{};
   TimePoint NextRenewal_{};
   LogIndex Revision_;
@@ -120,6 +130,8 @@
         return;
       if (Update->Document_)
         adopt(*Update->Document_, Out);
+      if (Update->Delta_)
+        adopt(*Update->Delta_, Out);
       State_.applyInstances(*Update, Out);
     } else if (const auto *Current =
                    std::get_if<RegistryCurrent>(&Received.Message_)) {
@@ -133,11 +145,22 @@
     // Documents are checked before they are accepted.
     JAYBRIDGE_VERIFY(Read.hasValue());
     State_.setVersion(Stored.Version_);
-    Out.emplace_back(RoutingChanged{
-        std::make_shared<const RoutingTable>(Read.takeValue())});
+    Document_ = Stored;
+    Out.emplace_back(
+        RoutingChanged{std::make_shared<const RoutingTable>(Read.takeValue())});
+  }
+
+  void adopt(const DocumentDelta &Delta, Effects &Out) {
+    if (!Document_ || Delta.Version_ <= Document_->Version_)
+      return;
+    auto Newer = applyDelta(*Document_, Delta);
+    // Revisions are continuous, so the base is the document held.
+    JAYBRIDGE_VERIFY(Newer.hasValue());
+    adopt(Newer.value(), Out);
   }
 
   FleetSubscriptionState State_;
+  std::optional<StoredDocument> Document_;
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRegistry/HealthBoard.h
+++ b/Libraries/LibRegistry/HealthBoard.h
@@ -10,25 +10,32 @@
 
 /// Outcomes of the whole fleet's attempts, by instance. One gateway sees too
 /// few requests of an instance to tell a gray failure from chance.
+///
+/// A suspected instance is left alone for a time that doubles with each trial
+/// that fails, since a trial of a service whose requests must not be repeated
+/// costs a caller's request. After the time it is tried with a clean record.
 class HealthBoard {
 public:
-  /// Evidence counts half after this time, so that a recovered instance is
-  /// tried again and a new failure shows at once.
+  /// Evidence counts half after this time.
   static constexpr Duration HalfLife = 1500ms;
-  /// Failures that raise suspicion: more than one, as one may be the request's.
-  static constexpr double LeastFailures = 1.4;
-  static constexpr double LeastFailureShare = 0.4;
-  /// An instance stays suspected at least this long after its last failure.
-  static constexpr Duration LeastSuspicion = 1s;
+  /// A connection that is lost without an answer points to the instance; an
+  /// error may be the request's fault, and a connection that cannot be opened
+  /// may be the gateway's path.
+  static constexpr double LostWeight = 1;
+  static constexpr double ErrorWeight = 0.5;
+  static constexpr double UnreachableWeight = 0.35;
+  /// With few successes one lost connection is enough.
+  static constexpr double LeastFailures = 0.9;
+  static constexpr double LeastFailureShare = 0.25;
+  static constexpr Duration FirstHold = 2s;
+  static constexpr Duration LongestHold = 6s;
+  /// A failure so long after the end of a hold starts anew.
+  static constexpr Duration TrialTime = 2500ms;
 
   void record(const AttemptTally &Seen, TimePoint Now);
-  /// The instance announced itself.
-  void noteAnnounced(const InstanceId &Id, TimePoint Now);
   void forget(const InstanceId &Id) { Standings_.erase(Id); }
 
   bool isSuspect(const InstanceId &Id, TimePoint Now) const;
-  /// Neither announced itself nor answered a request since the time.
-  bool isSilentSince(const InstanceId &Id, TimePoint Since) const;
   /// Suspected instances in the order of their ids.
   std::vector<InstanceId> suspects(TimePoint Now) const;
 
@@ -37,10 +44,10 @@
     double Failures_ = 0;
     double Successes_ = 0;
     TimePoint AsOf_{};
-    TimePoint FailedAt_{};
-    TimePoint AliveAt_{};
+    TimePoint HeldUntil_{};
+    Duration Hold_{};
   };
-  static bool isSuspect(const Standing &Given, TimePoint Now);
+  static void hold(Standing &Suspected, TimePoint Now);
 
   std::map<InstanceId, Standing> Standings_;
 };
--- a/Libraries/LibRegistry/RegistryCommand.h
+++ b/Libraries/LibRegistry/RegistryCommand.h
@@ -1,22 +1,13 @@
 #pragma once
 
-#include <LibCore/Identifiers.h>
+#include <LibRegistry/DocumentDelta.h>
+
 #include <LibUpstream/InstanceRecord.h>
 
-#include <string>
 #include <variant>
 
 namespace jaybridge {
 
-/// A whole configuration as its operator wrote it.
-struct StoredDocument {
-  ConfigurationVersion Version_;
-  std::string Text_;
-
-  friend bool operator==(const StoredDocument &,
-                         const StoredDocument &) = default;
-};
-
 /// An instance arrived or changed its state.
 struct StoreInstance {
   InstanceRecord Record_;
@@ -31,6 +22,6 @@
 
 /// An entry of the replicated log.
 using RegistryCommand =
-    std::variant<StoredDocument, StoreInstance, RemoveInstance>;
+    std::variant<StoredDocument, DocumentDelta, StoreInstance, RemoveInstance>;
 
 } // namespace jaybridge
--- a/Libraries/LibRegistry/ServiceRegistry.cpp
+++ b/Libraries/LibRegistry/ServiceRegistry.cpp
@@ -68,6 +68,13 @@
   return Change;
 }
 
+RegistryChange ServiceRegistry::applyEach(const DocumentDelta &Delta) {
+  if (!Document_)
+    return {};
+  auto Newer = applyDelta(*Document_, Delta);
+  return Newer ? applyEach(Newer.value()) : RegistryChange{};
+}
+
 RegistryChange ServiceRegistry::applyEach(const StoreInstance &Stored) {
   RegistryChange Change;
   const InstanceRecord &Record = Stored.Record_;
--- a/Libraries/LibRegistry/ServiceRegistry.h
+++ b/Libraries/LibRegistry/ServiceRegistry.h
@@ -58,6 +58,8 @@
 
 private:
   RegistryChange applyEach(const StoredDocument &Stored);
+  /// A delta for another base changes nothing.
+  RegistryChange applyEach(const DocumentDelta &Delta);
   RegistryChange applyEach(const StoreInstance &Stored);
   RegistryChange applyEach(const RemoveInstance &Removed);
   /// The instance that holds the address, if another one does.
--- a/Libraries/LibRegistry/SubscriptionMessages.h
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -22,8 +22,24 @@
 /// Outcomes of attempts at an instance since the last report.
 struct AttemptTally {
   InstanceId Id_;
-  EventCount Failures_;
+  /// Ended without a whole answer, or not in time.
+  EventCount Lost_;
+  /// Answered with a failure of the instance's own.
+  EventCount Errors_;
+  /// No connection could be opened.
+  EventCount Unreachable_;
   EventCount Successes_;
+
+  AttemptTally &operator+=(const AttemptTally &Other) {
+    Lost_ += Other.Lost_;
+    Errors_ += Other.Errors_;
+    Unreachable_ += Other.Unreachable_;
+    Successes_ += Other.Successes_;
+    return *this;
+  }
+  bool hasFailure() const {
+    return Lost_ + Errors_ + Unreachable_ > EventCount(0);
+  }
 };
 
 // From a gateway to a control member.
@@ -48,6 +64,8 @@
   LogIndex Revision_;
   /// Left out when the receiver has this version.
   std::optional<StoredDocument> Document_;
+  /// In the place of the document, for a receiver that has the base.
+  std::optional<DocumentDelta> Delta_;
   std::vector<InstanceRecord> Instances_;
   std::vector<ControlMember> Members_;
 };
@@ -63,7 +81,6 @@
 /// A follower's part of what the leader judges by.
 struct FollowerReported {
   FailureDomain Domain_;
-  std::vector<InstanceId> Announced_;
   std::vector<AttemptTally> Instances_;
 };
 
--- a/Libraries/LibReplication/FollowerProgress.h
+++ b/Libraries/LibReplication/FollowerProgress.h
@@ -19,6 +19,9 @@
   ReplicationRound AnsweredRound_;
   TimePoint LastHeard_;
   bool IsInFlight_ = false;
+  /// When the log was last sent, and in which round.
+  TimePoint SentAt_;
+  ReplicationRound SentRound_;
   /// The snapshot under transfer and how much of it has arrived.
   LogIndex SnapshotIndex_;
   SnapshotOffset SnapshotSent_;
--- a/Libraries/LibReplication/ReplicatedLog.h
+++ b/Libraries/LibReplication/ReplicatedLog.h
@@ -153,6 +153,7 @@
   void sendLog(const Voter &To, Step &S);
   void sendSnapshotPiece(const Voter &To, FollowerProgress &Progress, Step &S);
   void broadcast(Step &S);
+  void sendHeartbeat(const Voter &To, FollowerProgress &Progress, Step &S);
   void commitFromMatches(Step &S);
   void answerReads(Step &S);
   bool hearsMajority(TimePoint Now) const;
--- a/Libraries/LibReplication/ReplicatedLogLeader.cpp
+++ b/Libraries/LibReplication/ReplicatedLogLeader.cpp
@@ -55,6 +55,8 @@
       Log_.slice(Progress.Next_, GreatestBatch, GreatestBatchSize),
       CommitIndex_, Round_};
   Progress.IsInFlight_ = !Request.Entries_.empty();
+  Progress.SentAt_ = S.Now_;
+  Progress.SentRound_ = Round_;
   if (Previous > Progress.Match_)
     Progress.WithinMatchSince_.reset();
   else if (!Progress.WithinMatchSince_)
@@ -85,8 +87,27 @@
 
 void ReplicatedLog::broadcast(Step &S) {
   NextHeartbeat_ = S.Now_ + Settings_.Heartbeat_;
-  for (const auto &Each : Progress_)
-    sendLog(Each.first, S);
+  for (auto &[Receiver, Progress] : Progress_) {
+    bool IsUnderWay = Progress.IsInFlight_ &&
+                      Progress.SnapshotIndex_ == LogIndex() &&
+                      S.Now_ < Progress.SentAt_ + Settings_.ElectionTimeout_;
+    if (IsUnderWay)
+      sendHeartbeat(Receiver, Progress, S);
+    else
+      sendLog(Receiver, S);
+  }
+}
+
+/// Entries that were sent lately are not sent again: they may be long.
+void ReplicatedLog::sendHeartbeat(const Voter &To, FollowerProgress &Progress,
+                                  Step &S) {
+  std::optional<Term> MatchTerm = Log_.termAt(Progress.Match_);
+  if (!MatchTerm)
+    return sendLog(To, S);
+  Round_ = Round_.next();
+  sendAtOnce(
+      To.Id_,
+      AppendRequest{Progress.Match_, *MatchTerm, {}, CommitIndex_, Round_}, S);
 }
 
 void ReplicatedLog::commitFromMatches(Step &S) {
@@ -166,7 +187,10 @@
   FollowerProgress &Progress = Found->second;
   Progress.LastHeard_ = S.Now_;
   Progress.AnsweredRound_ = std::max(Progress.AnsweredRound_, Answer.Round_);
-  Progress.IsInFlight_ = false;
+  // Answers come in order: one to an earlier request says nothing of the
+  // entries under way, one to a later heartbeat that they were lost.
+  if (!Answer.IsAccepted_ || Answer.Round_ >= Progress.SentRound_)
+    Progress.IsInFlight_ = false;
   if (Answer.IsAccepted_) {
     if (Answer.MatchIndex_ > Progress.Match_) {
       Progress.Match_ = Answer.MatchIndex_;
@@ -178,8 +202,7 @@
     // of them. A request that continued a later entry may be refused with a
     // hint that skips a whole term and so lies before the acknowledged ones.
     if (Answer.MatchIndex_ < Progress.Match_ &&
-        Answer.Round_ > Progress.MatchRound_ &&
-        Progress.WithinMatchSince_ &&
+        Answer.Round_ > Progress.MatchRound_ && Progress.WithinMatchSince_ &&
         Answer.Round_ >= *Progress.WithinMatchSince_)
       return send(Message.From_.Id_, FolderOutdated{}, S);
     Progress.Next_ =
--- a/Libraries/LibReplication/ReplicatedLogMembers.cpp
+++ b/Libraries/LibReplication/ReplicatedLogMembers.cpp
@@ -16,7 +16,7 @@
 void ReplicatedLog::formIfAllEmpty(Step &S) {
   if (!Settings_.MayForm_ || !Log_.isEmpty() ||
       (!Settings_.Members_.empty() &&
-                          Settings_.Members_.front() < Settings_.Self_))
+       Settings_.Members_.front() < Settings_.Self_))
     return;
   VoterSet First;
   First.Voters_.push_back(Self_);
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -66,10 +66,9 @@
   const Request &Received = *Incoming.Request_;
   if (!Routes_)
     return refuseNew(Received, RefusalReason::NotReady, Out);
-  const Route *Taken =
-      Routes_->find(hostNameOf(Received.Authority_),
-                    std::string_view(Received.Target_)
-                        .substr(0, Received.Target_.find('?')));
+  const Route *Taken = Routes_->find(
+      hostNameOf(Received.Authority_),
+      std::string_view(Received.Target_).substr(0, Received.Target_.find('?')));
   if (!Taken)
     return refuseNew(Received, RefusalReason::UnknownService, Out);
   auto Routed = std::make_shared<Request>(Received);
@@ -127,8 +126,7 @@
   if (Routes_ && Incoming.Table_->version() < Routes_->version())
     return;
   Routes_ = Incoming.Table_;
-  Requests_.configure(
-      CatalogChanged{Routes_->version(), Routes_->policies()});
+  Requests_.configure(CatalogChanged{Routes_->version(), Routes_->policies()});
 }
 
 void Gateway::on(const InstanceChanged &Incoming, TimePoint Now, Effects &Out) {
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -96,9 +96,9 @@
 
 using GatewayEvent =
     std::variant<RequestReceived, CallerGone, AttemptFinished, CatalogChanged,
-                 RoutingChanged, InstanceChanged, LoadReported, EjectionsChanged,
-                 FingerprintsQuarantined, ClaimDecided, HomesChanged,
-                 ForwardAnswered, DrainStarted>;
+                 RoutingChanged, InstanceChanged, LoadReported,
+                 EjectionsChanged, FingerprintsQuarantined, ClaimDecided,
+                 HomesChanged, ForwardAnswered, DrainStarted>;
 
 // Effects.
 
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -279,7 +279,8 @@
   if (HasLive)
     return;
   bool IsInTime = Now < Running.deadline();
-  // Without a connection the service got nothing that a budget protects it from.
+  // Without a connection the service got nothing that a budget protects it
+  // from.
   bool IsFree = Ended.Result_ == AttemptResult::ConnectFailed;
   if (IsInTime && Running.canDispatch() &&
       (IsFree ||
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -20,13 +20,15 @@
 void RetryBudget::setShare(Percentage Share) { Share_ = Share; }
 
 void RetryBudget::depositFirstAttempt() {
-  Balance_ =
-      std::min(inHundredths(Bounds_.Greatest_), Balance_ + EventCount(Share_.value()));
+  Balance_ = std::min(inHundredths(Bounds_.Greatest_),
+                      Balance_ + EventCount(Share_.value()));
 }
 
 bool RetryBudget::withdrawRetry() { return withdraw(EventCount(0)); }
 
-bool RetryBudget::withdrawHedge() { return withdraw(inHundredths(Bounds_.Reserve_)); }
+bool RetryBudget::withdrawHedge() {
+  return withdraw(inHundredths(Bounds_.Reserve_));
+}
 
 bool RetryBudget::withdraw(EventCount Kept) {
   constexpr EventCount Price(HundredthsPerRetry);
--- a/Libraries/LibSettings/Flags.cpp
+++ b/Libraries/LibSettings/Flags.cpp
@@ -17,7 +17,8 @@
 DEFINE_string(seeds, "", "peer addresses of some daemons, A.B.C.D:PORT,...");
 DEFINE_string(seed_peer_port, "",
               "peers' port at the seeds, when they name another listener's");
-DEFINE_string(status_address, "", "listening address for readiness and metrics");
+DEFINE_string(status_address, "",
+              "listening address for readiness and metrics");
 DEFINE_string(first_start, "", "true when the whole system starts afresh");
 DEFINE_string(open_listeners, "",
               "true when operators, upstreams and peers need no token");
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -21,6 +21,7 @@
   StoredDocument,
   StoreInstance,
   RemoveInstance,
+  DocumentDelta,
 };
 
 std::string bytesOf(const json &Value) {
@@ -77,13 +78,15 @@
 }
 
 json write(const AttemptTally &Seen) {
-  return json::array({Seen.Id_.text(), Seen.Failures_.value(),
-                      Seen.Successes_.value()});
+  return json::array({Seen.Id_.text(), Seen.Lost_.value(), Seen.Errors_.value(),
+                      Seen.Unreachable_.value(), Seen.Successes_.value()});
 }
 AttemptTally readEvidence(const json &Value) {
-  return {InstanceId(Value.at(0).get<std::string>()),
-          EventCount(Value.at(1).get<std::uint64_t>()),
-          EventCount(Value.at(2).get<std::uint64_t>())};
+  auto Count = [&](std::size_t Index) {
+    return EventCount(Value.at(Index).get<std::uint64_t>());
+  };
+  return {InstanceId(Value.at(0).get<std::string>()), Count(1), Count(2),
+          Count(3), Count(4)};
 }
 
 json write(const ControlMember &Member) {
@@ -128,6 +131,38 @@
                         Value.at(1).get<std::string>()};
 }
 
+json write(const std::optional<DocumentDelta> &Delta) {
+  if (!Delta)
+    return nullptr;
+  json Parts = json::array();
+  for (const auto &Part : Delta->Parts_)
+    std::visit(
+        Overloaded{
+            [&](const KeptRange &Range) {
+              Parts.push_back(json::array({Range.Offset_, Range.Length_}));
+            },
+            [&](const std::string &Text) { Parts.push_back(Text); },
+        },
+        Part);
+  return json::array(
+      {Delta->Base_.value(), Delta->Version_.value(), std::move(Parts)});
+}
+std::optional<DocumentDelta> readDelta(const json &Value) {
+  if (Value.is_null())
+    return std::nullopt;
+  DocumentDelta Delta;
+  Delta.Base_ = ConfigurationVersion(Value.at(0).get<std::uint64_t>());
+  Delta.Version_ = ConfigurationVersion(Value.at(1).get<std::uint64_t>());
+  for (const json &Part : Value.at(2)) {
+    if (Part.is_string())
+      Delta.Parts_.emplace_back(Part.get<std::string>());
+    else
+      Delta.Parts_.emplace_back(KeptRange{Part.at(0).get<std::uint64_t>(),
+                                          Part.at(1).get<std::uint64_t>()});
+  }
+  return Delta;
+}
+
 std::optional<LogIndex> readIndex(const json &Value) {
   if (Value.is_null())
     return std::nullopt;
@@ -145,15 +180,15 @@
     return RegistryUpdated{readIndex(Value.at(1)),
                            LogIndex(Value.at(2).get<std::uint64_t>()),
                            readDocument(Value.at(3)),
-                           readAll(Value.at(4), readInstance),
-                           readAll(Value.at(5), readMember)};
+                           readDelta(Value.at(4)),
+                           readAll(Value.at(5), readInstance),
+                           readAll(Value.at(6), readMember)};
   case Tag::RegistryCurrent:
     return RegistryCurrent{LogIndex(Value.at(1).get<std::uint64_t>()),
                            readAll(Value.at(2), readInstanceId)};
   case Tag::FollowerReported:
     return FollowerReported{FailureDomain(Value.at(1).get<std::string>()),
-                            readAll(Value.at(2), readInstanceId),
-                            readAll(Value.at(3), readEvidence)};
+                            readAll(Value.at(2), readEvidence)};
   case Tag::LeaderJudged:
     return LeaderJudged{readAll(Value.at(1), readInstanceId),
                         readAll(Value.at(2), readMember)};
@@ -166,6 +201,8 @@
   switch (tagOf(Value)) {
   case Tag::StoredDocument:
     return readDocument(Value.at(1)).value();
+  case Tag::DocumentDelta:
+    return readDelta(Value.at(1)).value();
   case Tag::StoreInstance:
     return StoreInstance{readInstance(Value.at(1))};
   case Tag::RemoveInstance:
@@ -179,50 +216,50 @@
 } // namespace
 
 std::string encodeSubscription(const SubscriptionMessage &Message) {
-  json Value = std::visit(
-      Overloaded{
-          [](const Subscribe &Each) {
-            json List = tagged(Tag::Subscribe);
-            List.push_back(Each.Revision_.value());
-            List.push_back(Each.Version_.value());
-            return List;
-          },
-          [](const EvidenceReported &Each) {
-            json List = tagged(Tag::EvidenceReported);
-            List.push_back(writeAll(Each.Instances_));
-            return List;
-          },
-          [](const RegistryUpdated &Each) {
-            json List = tagged(Tag::RegistryUpdated);
-            List.push_back(Each.Since_ ? json(Each.Since_->value())
-                                       : json(nullptr));
-            List.push_back(Each.Revision_.value());
-            List.push_back(write(Each.Document_));
-            List.push_back(writeAll(Each.Instances_));
-            List.push_back(writeAll(Each.Members_));
-            return List;
-          },
-          [](const RegistryCurrent &Each) {
-            json List = tagged(Tag::RegistryCurrent);
-            List.push_back(Each.Revision_.value());
-            List.push_back(writeAll(Each.Suspects_));
-            return List;
-          },
-          [](const FollowerReported &Each) {
-            json List = tagged(Tag::FollowerReported);
-            List.push_back(Each.Domain_.text());
-            List.push_back(writeAll(Each.Announced_));
-            List.push_back(writeAll(Each.Instances_));
-            return List;
-          },
-          [](const LeaderJudged &Each) {
-            json List = tagged(Tag::LeaderJudged);
-            List.push_back(writeAll(Each.Suspects_));
-            List.push_back(writeAll(Each.Members_));
-            return List;
-          },
-      },
-      Message);
+  json Value =
+      std::visit(Overloaded{
+                     [](const Subscribe &Each) {
+                       json List = tagged(Tag::Subscribe);
+                       List.push_back(Each.Revision_.value());
+                       List.push_back(Each.Version_.value());
+                       return List;
+                     },
+                     [](const EvidenceReported &Each) {
+                       json List = tagged(Tag::EvidenceReported);
+                       List.push_back(writeAll(Each.Instances_));
+                       return List;
+                     },
+                     [](const RegistryUpdated &Each) {
+                       json List = tagged(Tag::RegistryUpdated);
+                       List.push_back(Each.Since_ ? json(Each.Since_->value())
+                                                  : json(nullptr));
+                       List.push_back(Each.Revision_.value());
+                       List.push_back(write(Each.Document_));
+                       List.push_back(write(Each.Delta_));
+                       List.push_back(writeAll(Each.Instances_));
+                       List.push_back(writeAll(Each.Members_));
+                       return List;
+                     },
+                     [](const RegistryCurrent &Each) {
+                       json List = tagged(Tag::RegistryCurrent);
+                       List.push_back(Each.Revision_.value());
+                       List.push_back(writeAll(Each.Suspects_));
+                       return List;
+                     },
+                     [](const FollowerReported &Each) {
+                       json List = tagged(Tag::FollowerReported);
+                       List.push_back(Each.Domain_.text());
+                       List.push_back(writeAll(Each.Instances_));
+                       return List;
+                     },
+                     [](const LeaderJudged &Each) {
+                       json List = tagged(Tag::LeaderJudged);
+                       List.push_back(writeAll(Each.Suspects_));
+                       List.push_back(writeAll(Each.Members_));
+                       return List;
+                     },
+                 },
+                 Message);
   return bytesOf(Value);
 }
 
@@ -238,6 +275,11 @@
             List.push_back(write(std::optional<StoredDocument>(Each)));
             return List;
           },
+          [](const DocumentDelta &Each) {
+            json List = tagged(Tag::DocumentDelta);
+            List.push_back(write(std::optional<DocumentDelta>(Each)));
+            return List;
+          },
           [](const StoreInstance &Each) {
             json List = tagged(Tag::StoreInstance);
             List.push_back(write(Each.Record_));
@@ -260,9 +302,9 @@
 }
 
 std::string RegistryWireCodec::encodeState(const RegistryState &State) {
-  return bytesOf(json::array({write(State.Document_),
-                              writeAll(State.Instances_),
-                              writeAll(State.Departed_)}));
+  return bytesOf(
+      json::array({write(State.Document_), writeAll(State.Instances_),
+                   writeAll(State.Departed_)}));
 }
 
 Result<RegistryState> RegistryWireCodec::decodeState(const std::string &Bytes) {
--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -32,9 +32,9 @@
   Own.Heartbeat_ = LogHeartbeat;
   Own.ElectionTimeout_ = LogElectionTimeout;
   // Only the seeds of the first start are known to all members.
-  Own.MayForm_ = Given.IsFirstStart_ &&
-                 std::find(Own.Members_.begin(), Own.Members_.end(),
-                           Own.Self_) != Own.Members_.end();
+  Own.MayForm_ =
+      Given.IsFirstStart_ && std::find(Own.Members_.begin(), Own.Members_.end(),
+                                       Own.Self_) != Own.Members_.end();
   return Own;
 }
 
@@ -48,8 +48,7 @@
       MessagesUnsent_(
           Metrics_.counter(MetricName("jaybridge_messages_unsent_total"))),
       OnStopped_(std::move(OnStopped)), Storage_(std::move(Storage)),
-      Peers_(Given, peerSinks()),
-      Control_(std::move(Hosted), ControlRing),
+      Peers_(Given, peerSinks()), Control_(std::move(Hosted), ControlRing),
       Api_([this](ControlEvent Asked) { return post(std::move(Asked)); }) {}
 
 PeerSinks ControlDaemon::peerSinks() {
@@ -114,9 +113,8 @@
     else if (auto *Failed = std::get_if<PersistFailed>(&Ended))
       (void)Control_.ring().push(ControlEvent(std::move(*Failed)));
   });
-  Control_.start([this](ControlEffect Effect) {
-    return deliver(std::move(Effect));
-  });
+  Control_.start(
+      [this](ControlEffect Effect) { return deliver(std::move(Effect)); });
   Peers_.beginDelivery();
   Log_.write(LogLevel::Info, "started",
              {{"duty", "control"},
@@ -154,10 +152,10 @@
           },
           [this](const ControlAnswered &Answered) { Api_.answer(Answered); },
           [this](const LeaderChanged &Changed) {
-            Log_.write(LogLevel::Info, "leader",
-                       {{"member",
-                         Changed.Leader_ ? Changed.Leader_->text() : "none"},
-                        {"term", std::to_string(Changed.Term_.value())}});
+            Log_.write(
+                LogLevel::Info, "leader",
+                {{"member", Changed.Leader_ ? Changed.Leader_->text() : "none"},
+                 {"term", std::to_string(Changed.Term_.value())}});
           },
           [this](const RegistryApplied &Applied) { record(Applied); },
           [this](const SuspectsChanged &Changed) {
@@ -182,23 +180,27 @@
                        {{"revision", Revision},
                         {"version", std::to_string(Each.Version_.value())}});
           },
-          [&](const StoreInstance &Each) {
-            Log_.write(LogLevel::Info, "instance-stored",
+          [&](const DocumentDelta &Each) {
+            Log_.write(LogLevel::Info, "configuration-accepted",
                        {{"revision", Revision},
-                        {"instance", Each.Record_.Id_.text()},
-                        {"service", Each.Record_.Service_.text()},
-                        {"address", Each.Record_.Address_.text()},
-                        {"draining",
-                         Each.Record_.State_ == InstanceState::Draining
-                             ? "true"
-                             : "false"},
-                        {"start",
-                         std::to_string(Each.Record_.Version_.value())}});
+                        {"version", std::to_string(Each.Version_.value())},
+                        {"base", std::to_string(Each.Base_.value())}});
+          },
+          [&](const StoreInstance &Each) {
+            Log_.write(
+                LogLevel::Info, "instance-stored",
+                {{"revision", Revision},
+                 {"instance", Each.Record_.Id_.text()},
+                 {"service", Each.Record_.Service_.text()},
+                 {"address", Each.Record_.Address_.text()},
+                 {"draining", Each.Record_.State_ == InstanceState::Draining
+                                  ? "true"
+                                  : "false"},
+                 {"start", std::to_string(Each.Record_.Version_.value())}});
           },
           [&](const RemoveInstance &Each) {
             Log_.write(LogLevel::Info, "instance-removed",
-                       {{"revision", Revision},
-                        {"instance", Each.Id_.text()}});
+                       {{"revision", Revision}, {"instance", Each.Id_.text()}});
           },
       },
       Applied.Command_);
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -35,6 +35,7 @@
 FleetSubscriptionSettings subscriptionOf(const Settings &Given) {
   FleetSubscriptionSettings Own;
   Own.Domain_ = Given.Domain_;
+  Own.Self_ = Given.PeerAddress_;
   Own.Seeds_ = RegistryPeers::seedsOf(Given);
   return Own;
 }
@@ -134,15 +135,15 @@
   Path.Gateway_.RetryBounds_ = {RetryReserve, RetryReserve};
   Path.Seed_ = seedOf(Given, 2);
   JAYBRIDGE_TRY(Requests_, RequestPath::create(Path, outlets()));
-  std::vector<ControlRoute> Routes = statusRoutes(
-      [this] { return metricsText(); },
-      [this] { return !IsDraining_ && Version_ > 0; });
+  std::vector<ControlRoute> Routes =
+      statusRoutes([this] { return metricsText(); },
+                   [this] { return !IsDraining_ && Version_ > 0; });
   Routes.push_back(platform::readinessRoute(
       [this] { return !IsDraining_ && Version_ > 0; }));
   JAYBRIDGE_TRY(Status_,
-                ControlListener::create({.Address_ = Given.StatusAddress_,
-                                         .Token_ = std::nullopt},
-                                        std::move(Routes)));
+                ControlListener::create(
+                    {.Address_ = Given.StatusAddress_, .Token_ = std::nullopt},
+                    std::move(Routes)));
   Following_.start([this](FleetSubscriptionEffect Effect)
                        -> std::optional<FleetSubscriptionEvent> {
     deliver(std::move(Effect));
@@ -266,8 +267,8 @@
   std::this_thread::sleep_for(std::min(RotationTime, Grace / 2));
   Requests_->stopAccepting();
   std::this_thread::sleep_for(std::min(LateRequestTime, Grace / 10));
-  const bool IsComplete = Requests_->drain(
-      std::max(Duration::zero(), EndsAt - monotonicNow()));
+  const bool IsComplete =
+      Requests_->drain(std::max(Duration::zero(), EndsAt - monotonicNow()));
   Log_.write(LogLevel::Info, "drained",
              {{"complete", IsComplete ? "true" : "false"}});
   return IsComplete;
--- a/Services/jaybridged/RegistryPeers.cpp
+++ b/Services/jaybridged/RegistryPeers.cpp
@@ -28,8 +28,8 @@
 std::vector<MemberId> RegistryPeers::seedsOf(const Settings &Given) {
   std::vector<MemberId> Seeds;
   for (const Endpoint &Each : Given.Seeds_) {
-    auto Address = Endpoint::create(
-        Each.address(), Given.SeedPeerPort_.value_or(Each.port()));
+    auto Address = Endpoint::create(Each.address(),
+                                    Given.SeedPeerPort_.value_or(Each.port()));
     JAYBRIDGE_VERIFY(Address.hasValue());
     Seeds.push_back(memberIdOf(Address.value()));
   }
--- a/Services/jaybridged/RegistryPeers.h
+++ b/Services/jaybridged/RegistryPeers.h
@@ -14,8 +14,8 @@
 class RegistryPeers {
 public:
   RegistryPeers(const Settings &Given, PeerSinks Sinks)
-      : Self_(memberIdOf(Given.PeerAddress_)),
-        Peers_(Self_, std::move(Sinks)) {}
+      : Self_(memberIdOf(Given.PeerAddress_)), Peers_(Self_, std::move(Sinks)) {
+  }
 
   Status start(const Settings &Given);
   void beginDelivery() { Peers_.beginDelivery(); }
