--- a/Libraries/LibUpstream/UpstreamInstance.cpp
+++ b/Libraries/LibUpstream/UpstreamInstance.cpp
@@ -156,7 +156,7 @@
 }
 
 SelectionCost UpstreamInstance::cost(Duration PoolMean, TimePoint Now) const {
-  double Load = InUse_.value();
+  double Load = InUse_.value() + 1;
   Duration Lifetime = std::min(
       LoadHintLifetime, std::max(LeastHintLifetime, PoolMean * HintServices));
   if (Duration Age = Now - LoadReportedAt_; Age < Lifetime)
@@ -176,12 +176,8 @@
   double Failing = Failures_ * remaining(Now - FailuresAt_);
   if (Failing < LeastFailures)
     Failing = 0;
-  // The request itself takes one of the announced slots. Measured against a
-  // limit that is lowered for a while, an idle instance would look full to each
-  // of many gateways that have nothing there.
-  double Share =
-      Load / limit(Now).value() + 1.0 / std::max(1U, Record_.Slots_.value());
-  return SelectionCost(Share * Slowness * (1 + FailurePenalty * Failing));
+  return SelectionCost(Load / limit(Now).value() * Slowness *
+                       (1 + FailurePenalty * Failing));
 }
 
 } // namespace jaybridge
