LibRegistry: Count healthy instances alone for the floor

Dead instances used up the share that ejection may take from a service, so that failing ones stayed in use; and one lost connection in a small pool was not enough. Change: what mostly fails is no healthy capacity; the floor holds for the rest. Holds end early where a quarter of a service is held.

--- a/Libraries/LibProfile/RoutingTable.cpp
+++ b/Libraries/LibProfile/RoutingTable.cpp
@@ -10,8 +10,9 @@
 /// commonly permit a fifth; the rest absorbs requests that move between
 /// gateways.
 constexpr Percentage RetryShare(14);
-/// Share of serving instances that ejection must leave in use.
-constexpr Percentage LeastInUse(70);
+/// Share of serving instances that a gateway keeps in use whatever it is told:
+/// the floor for healthy instances is kept where the evidence is pooled.
+constexpr Percentage LeastInUse(30);
 constexpr std::uint32_t GreatestRank = 100;
 
 Error invalid(const std::string &Field, std::string Message) {
--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -27,6 +27,8 @@
 struct ControlSettings {
   MemberId Self_;
   FailureDomain Domain_;
+  /// Healthy instances of a service that suspicion must leave in use.
+  Percentage Floor_ = Percentage(70);
   /// How often subscribers hear that they are up to date. Several intervals
   /// fit into the time after which a gateway looks for another member.
   Duration CurrentInterval_ = 400ms;
@@ -277,10 +279,8 @@
   }
 
   void judge(TimePoint Now, Effects &Out) {
-    std::vector<InstanceId> Suspected = Board_.suspects(Now);
-    std::erase_if(Suspected, [this](const InstanceId &Each) {
-      return Registry_.find(Each) == nullptr;
-    });
+    std::vector<InstanceId> Suspected =
+        Board_.suspects(Registry_, Settings_.Floor_, Now);
     if (Suspected == Suspects_)
       return;
     bool HasNew = !std::includes(Suspects_.begin(), Suspects_.end(),
--- a/Libraries/LibRegistry/HealthBoard.cpp
+++ b/Libraries/LibRegistry/HealthBoard.cpp
@@ -40,7 +40,12 @@
                  Now < Suspected.HeldUntil_ + TrialTime;
   Suspected.Hold_ =
       IsTrial ? std::min(LongestHold, 2 * Suspected.Hold_) : FirstHold;
+  Suspected.HeldSince_ = Now;
   Suspected.HeldUntil_ = Now + Suspected.Hold_;
+  Suspected.IsProven_ =
+      IsTrial ||
+      Suspected.Failures_ >=
+          ProvenFailureShare * (Suspected.Failures_ + Suspected.Successes_);
   Suspected.Failures_ = 0;
   Suspected.Successes_ = 0;
 }
@@ -50,11 +55,56 @@
   return Found != Standings_.end() && Now < Found->second.HeldUntil_;
 }
 
-std::vector<InstanceId> HealthBoard::suspects(TimePoint Now) const {
+void HealthBoard::releaseScarce(Pool &Own, TimePoint Now) {
+  auto Permitted = static_cast<std::size_t>(
+      ScarceShare * static_cast<double>(Own.Others_ + Own.Proven_.size()));
+  if (Own.Proven_.size() <= Permitted)
+    return;
+  std::stable_sort(Own.Proven_.begin(), Own.Proven_.end(),
+                   [this](const InstanceId &Left, const InstanceId &Right) {
+                     return Standings_.at(Left).HeldSince_ >
+                            Standings_.at(Right).HeldSince_;
+                   });
+  while (Own.Proven_.size() > Permitted) {
+    Standing &Oldest = Standings_.at(Own.Proven_.back());
+    if (Now < Oldest.HeldSince_ + FirstHold)
+      return;
+    Oldest.HeldUntil_ = Now;
+    Own.Proven_.pop_back();
+    ++Own.Others_;
+  }
+}
+
+std::vector<InstanceId> HealthBoard::suspects(const ServiceRegistry &Registry,
+                                              Percentage Floor,
+                                              TimePoint Now) {
+  std::map<ServiceName, Pool> Pools;
+  for (const auto &[Id, Record] : Registry.instances()) {
+    if (Record.State_ != InstanceState::Serving)
+      continue;
+    Pool &Own = Pools[Record.Service_];
+    auto Known = Standings_.find(Id);
+    bool IsHeld = Known != Standings_.end() && Now < Known->second.HeldUntil_;
+    if (IsHeld && Known->second.IsProven_) {
+      Own.Proven_.push_back(Id);
+      continue;
+    }
+    ++Own.Others_;
+    if (IsHeld)
+      Own.Unproven_.push_back(Id);
+  }
   std::vector<InstanceId> Suspected;
-  for (const auto &[Id, Known] : Standings_)
-    if (Now < Known.HeldUntil_)
-      Suspected.push_back(Id);
+  auto Add = [&Suspected](const std::vector<InstanceId> &List) {
+    Suspected.insert(Suspected.end(), List.begin(), List.end());
+  };
+  for (auto &[Name, Own] : Pools) {
+    releaseScarce(Own, Now);
+    std::size_t Kept = (Own.Others_ * Floor.value() + 99) / 100;
+    Own.Unproven_.resize(std::min(Own.Unproven_.size(), Own.Others_ - Kept));
+    Add(Own.Proven_);
+    Add(Own.Unproven_);
+  }
+  std::sort(Suspected.begin(), Suspected.end());
   return Suspected;
 }
 
--- a/Libraries/LibRegistry/HealthBoard.h
+++ b/Libraries/LibRegistry/HealthBoard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibRegistry/ServiceRegistry.h>
 #include <LibRegistry/SubscriptionMessages.h>
 
 #include <map>
@@ -14,6 +15,13 @@
 /// A suspected instance is left alone for a time that doubles with each trial
 /// that fails, since a trial of a service whose requests must not be repeated
 /// costs a caller's request. After the time it is tried with a clean record.
+///
+/// Where much of a service is left alone, its instances are tried again after
+/// the first hold already: their slots are then worth more than a request.
+///
+/// The floor protects healthy capacity: an instance whose attempts mostly fail
+/// is none, however many such there are. On less evidence only so many are left
+/// alone that the floor stays in use among the others.
 class HealthBoard {
 public:
   /// Evidence counts half after this time.
@@ -27,8 +35,12 @@
   /// With few successes one lost connection is enough.
   static constexpr double LeastFailures = 0.9;
   static constexpr double LeastFailureShare = 0.25;
+  /// From this share of failures on an instance is no healthy capacity.
+  static constexpr double ProvenFailureShare = 0.5;
   static constexpr Duration FirstHold = 2s;
   static constexpr Duration LongestHold = 6s;
+  /// More than this share of a service left alone is much.
+  static constexpr double ScarceShare = 0.25;
   /// A failure so long after the end of a hold starts anew.
   static constexpr Duration TrialTime = 2500ms;
 
@@ -36,18 +48,30 @@
   void forget(const InstanceId &Id) { Standings_.erase(Id); }
 
   bool isSuspect(const InstanceId &Id, TimePoint Now) const;
-  /// Suspected instances in the order of their ids.
-  std::vector<InstanceId> suspects(TimePoint Now) const;
+  /// Instances to leave alone, in the order of their ids.
+  std::vector<InstanceId> suspects(const ServiceRegistry &Registry,
+                                   Percentage Floor, TimePoint Now);
 
 private:
   struct Standing {
     double Failures_ = 0;
     double Successes_ = 0;
     TimePoint AsOf_{};
+    TimePoint HeldSince_{};
     TimePoint HeldUntil_{};
     Duration Hold_{};
+    bool IsProven_ = false;
   };
+  struct Pool {
+    /// Serving instances that are not proven to fail.
+    std::size_t Others_ = 0;
+    std::vector<InstanceId> Proven_;
+    std::vector<InstanceId> Unproven_;
+  };
+
   static void hold(Standing &Suspected, TimePoint Now);
+  /// Ends the oldest holds of a service that lacks instances.
+  void releaseScarce(Pool &Own, TimePoint Now);
 
   std::map<InstanceId, Standing> Standings_;
 };
