--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -42,6 +42,7 @@
   void deliver(FleetSubscriptionEffect Effect);
   void apply(RoutingChanged &Changed);
   void apply(InstanceChanged &Changed);
+  void apply(LoadReported &Reported);
   void apply(EjectionsChanged &Changed);
   void apply(const ContactChanged &Changed);
   void record(const RecordStep &Step);
