--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -33,7 +33,7 @@
   /// fit into the time after which a gateway looks for another member.
   Duration CurrentInterval_ = 400ms;
   /// How often followers report to the leader without a failure to tell.
-  Duration ReportInterval_ = 400ms;
+  Duration ReportInterval_ = 1s;
 };
 
 /// A control member: its part in the replicated log, the registry that the log
@@ -78,10 +78,6 @@
   }
 
 private:
-  static constexpr Duration MembersInterval = 5s;
-  /// How long a follower repeats what the leader judged last.
-  static constexpr Duration JudgementLifetime = 3s;
-
   struct PendingChange {
     ControlQuery Query_;
     /// The configuration that the change must bring into force, if it is one.
@@ -199,7 +195,7 @@
         !Subscribers_.renew(From, Asked.Revision_, Now))
       return;
     if (Asked.Revision_ == Revision_ && Revision_ > LogIndex())
-      return send(From, RegistryCurrent{Revision_, Suspects_, Loads_}, Out);
+      return send(From, RegistryCurrent{Revision_, Suspects_}, Out);
     RegistryUpdated Whole;
     Whole.Revision_ = Revision_;
     if (Registry_.document() && Asked.Version_ < Registry_.version())
@@ -227,7 +223,6 @@
 
   void follow(const LeaderJudged &Judged, TimePoint Now, Effects &Out) {
     JudgedAt_ = Now;
-    Loads_ = Judged.Loads_;
     for (const ControlMember &Each : Judged.Members_)
       Members_[Each.Id_] = Each.Domain_;
     setSuspects(Judged.Suspects_, Out);
@@ -249,19 +244,16 @@
     if (!isCurrent())
       return;
     for (const auto &[Id, Each] : Subscribers_.all())
-      send(Id, RegistryCurrent{Revision_, Suspects_, Loads_}, Out);
+      send(Id, RegistryCurrent{Revision_, Suspects_}, Out);
   }
 
   void announceCurrent(TimePoint Now, Effects &Out) {
     NextCurrent_ = Now + Settings_.CurrentInterval_;
     Subscribers_.expire(Now);
-    if (!Log_.isLeader() && Now > JudgedAt_ + JudgementLifetime)
+    if (!Log_.isLeader() && Now > JudgedAt_ + 3 * Settings_.ReportInterval_)
       Suspects_.clear();
-    if (Log_.isLeader()) {
+    if (Log_.isLeader())
       judge(Now, Out);
-      if (Now >= NextJudgement_)
-        tellFollowers(Now, Out);
-    }
     tellSubscribers(Out);
   }
 
@@ -299,19 +291,10 @@
   }
 
   void tellFollowers(TimePoint Now, Effects &Out) {
-    NextJudgement_ = Now + Settings_.CurrentInterval_;
-    Loads_ = InstanceLoads{Revision_, Board_.loads(Registry_, Now)};
-    std::vector<ControlMember> Members = members();
-    // Repeated now and then for a follower that missed them.
-    bool IsRepeated = Members != ToldMembers_ || Now >= NextMembers_;
-    if (IsRepeated)
-      NextMembers_ = Now + MembersInterval;
-    ToldMembers_ = Members;
-    if (!IsRepeated)
-      Members.clear();
+    NextJudgement_ = Now + Settings_.ReportInterval_;
     for (const Voter &Each : Log_.members().Voters_)
       if (Each.Id_ != Settings_.Self_)
-        send(Each.Id_, LeaderJudged{Suspects_, Loads_, Members}, Out);
+        send(Each.Id_, LeaderJudged{Suspects_, members()}, Out);
   }
 
   /// Announcements that change nothing stay within the failure domain. The
@@ -483,10 +466,7 @@
   Term KnownTerm_;
   TimePoint NextCurrent_{};
   TimePoint NextReport_{};
-  InstanceLoads Loads_;
   TimePoint NextJudgement_{};
-  std::vector<ControlMember> ToldMembers_;
-  TimePoint NextMembers_{};
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRegistry/FleetSubscription.cpp
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -195,19 +195,6 @@
     return subscribe(Now, Out);
   heard(From, Now, Out);
   applySuspects(Said.Suspects_, Now, Out);
-  applyLoads(Said.Loads_, Out);
-}
-
-void FleetSubscriptionState::applyLoads(const InstanceLoads &Loads,
-                                        Effects &Out) const {
-  if (Loads.Revision_ != Revision_ || Loads.Busy_.size() != Instances_.size())
-    return;
-  auto Busy = Loads.Busy_.begin();
-  for (const auto &[Id, Record] : Instances_) {
-    if (*Busy)
-      Out.emplace_back(LoadReported{Id, Record.Service_, **Busy});
-    ++Busy;
-  }
 }
 
 void FleetSubscriptionState::applySuspects(
@@ -231,7 +218,6 @@
   std::optional<AttemptTally> Tally = tallyOf(Seen);
   if (!Tally)
     return;
-  Tally->Busy_ = Seen.Busy_;
   AttemptTally &Sum = Evidence_[Seen.Instance_];
   Sum.Id_ = Seen.Instance_;
   Sum += *Tally;
--- a/Libraries/LibRegistry/FleetSubscription.h
+++ b/Libraries/LibRegistry/FleetSubscription.h
@@ -28,7 +28,7 @@
   /// that a nearer one that does not answer is not tried all the time.
   Duration SettleTime_ = 3s;
   /// How long outcomes wait to be reported together.
-  Duration SuccessDelay_ = 300ms;
+  Duration SuccessDelay_ = 1s;
   Duration FailureDelay_ = 20ms;
 };
 
@@ -41,7 +41,7 @@
     std::variant<SubscriptionReceived, ObserveAttempt>;
 using FleetSubscriptionEffect =
     std::variant<SendSubscription, RoutingChanged, InstanceChanged,
-                 LoadReported, EjectionsChanged, ContactChanged>;
+                 EjectionsChanged, ContactChanged>;
 
 /// Reads the text of a configuration into the routing table that it states.
 template <typename Reader>
@@ -79,7 +79,6 @@
   void reportEvidence(Effects &Out);
   void applySuspects(const std::vector<InstanceId> &Suspects, TimePoint Now,
                      Effects &Out);
-  void applyLoads(const InstanceLoads &Loads, Effects &Out) const;
   std::vector<MemberId> candidates();
   /// Leading parts of the address that a member shares with this daemon.
   std::size_t commonPrefix(const MemberId &Member) const;
--- a/Libraries/LibRegistry/HealthBoard.cpp
+++ b/Libraries/LibRegistry/HealthBoard.cpp
@@ -20,10 +20,6 @@
 
 void HealthBoard::record(const AttemptTally &Seen, TimePoint Now) {
   Standing &Known = Standings_[Seen.Id_];
-  if (Seen.Busy_) {
-    Known.Busy_ = Seen.Busy_;
-    Known.BusyAt_ = Now;
-  }
   // What was under way when the instance was left alone says nothing new.
   if (Now < Known.HeldUntil_)
     return;
@@ -59,18 +55,6 @@
   return Found != Standings_.end() && Now < Found->second.HeldUntil_;
 }
 
-std::vector<std::optional<SlotCount>>
-HealthBoard::loads(const ServiceRegistry &Registry, TimePoint Now) const {
-  std::vector<std::optional<SlotCount>> Loads;
-  for (const auto &[Id, Record] : Registry.instances()) {
-    auto Known = Standings_.find(Id);
-    bool IsFresh = Known != Standings_.end() &&
-                   Now < Known->second.BusyAt_ + LoadLifetime;
-    Loads.push_back(IsFresh ? Known->second.Busy_ : std::nullopt);
-  }
-  return Loads;
-}
-
 void HealthBoard::releaseScarce(Pool &Own, TimePoint Now) {
   auto Permitted = static_cast<std::size_t>(
       ScarceShare * static_cast<double>(Own.Others_ + Own.Proven_.size()));
--- a/Libraries/LibRegistry/HealthBoard.h
+++ b/Libraries/LibRegistry/HealthBoard.h
@@ -52,13 +52,6 @@
   std::vector<InstanceId> suspects(const ServiceRegistry &Registry,
                                    Percentage Floor, TimePoint Now);
 
-  /// What the instances said lately of their load.
-  std::vector<std::optional<SlotCount>> loads(const ServiceRegistry &Registry,
-                                              TimePoint Now) const;
-
-  /// A statement about load says nothing after this time.
-  static constexpr Duration LoadLifetime = 1s;
-
 private:
   struct Standing {
     double Failures_ = 0;
@@ -68,8 +61,6 @@
     TimePoint HeldUntil_{};
     Duration Hold_{};
     bool IsProven_ = false;
-    std::optional<SlotCount> Busy_;
-    TimePoint BusyAt_{};
   };
   struct Pool {
     /// Serving instances that are not proven to fail.
--- a/Libraries/LibRegistry/SubscriptionMessages.h
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -29,16 +29,12 @@
   /// No connection could be opened.
   EventCount Unreachable_;
   EventCount Successes_;
-  /// Requests that the instance had, by its latest word.
-  std::optional<SlotCount> Busy_;
 
   AttemptTally &operator+=(const AttemptTally &Other) {
     Lost_ += Other.Lost_;
     Errors_ += Other.Errors_;
     Unreachable_ += Other.Unreachable_;
     Successes_ += Other.Successes_;
-    if (Other.Busy_)
-      Busy_ = Other.Busy_;
     return *this;
   }
   bool hasFailure() const {
@@ -74,19 +70,10 @@
   std::vector<ControlMember> Members_;
 };
 
-/// Requests that each instance had lately, in the order of the registry's ids;
-/// none where nothing was heard.
-struct InstanceLoads {
-  /// The registry that the order is of.
-  LogIndex Revision_;
-  std::vector<std::optional<SlotCount>> Busy_;
-};
-
 /// The sender hears the leader, and this revision is the newest that it knows.
 struct RegistryCurrent {
   LogIndex Revision_;
   std::vector<InstanceId> Suspects_;
-  InstanceLoads Loads_;
 };
 
 // Between control members.
@@ -100,8 +87,6 @@
 /// The leader's judgement, for the subscribers of its followers.
 struct LeaderJudged {
   std::vector<InstanceId> Suspects_;
-  InstanceLoads Loads_;
-  /// Left out when they are as before.
   std::vector<ControlMember> Members_;
 };
 
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -146,8 +146,6 @@
   StatusCode Status_;
   Duration Elapsed_{};
   Fingerprint Fingerprint_;
-  /// Requests that the instance had, by its own word.
-  std::optional<SlotCount> Busy_;
 };
 
 struct ForwardRequest {
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -249,8 +249,7 @@
     Router.pool().report(Taken->Instance_, *Result.Busy_, Now);
   Out.emplace_back(ObserveAttempt{Taken->Service_, Taken->Instance_,
                                   Result.Result_, Result.Response_.Status_,
-                                  Result.Elapsed_, Taken->Fingerprint_,
-                                  Result.Busy_});
+                                  Result.Elapsed_, Taken->Fingerprint_});
   Out.emplace_back(RecordStep{Taken->Request_,
                               StepKind::AttemptEnded,
                               Taken->Service_,
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -24,9 +24,6 @@
   DocumentDelta,
 };
 
-constexpr std::uint8_t UnknownLoad = 255;
-constexpr std::uint32_t GreatestWrittenLoad = 254;
-
 std::string bytesOf(const json &Value) {
   std::string Bytes;
   json::to_cbor(Value, Bytes);
@@ -82,38 +79,14 @@
 
 json write(const AttemptTally &Seen) {
   return json::array({Seen.Id_.text(), Seen.Lost_.value(), Seen.Errors_.value(),
-                      Seen.Unreachable_.value(), Seen.Successes_.value(),
-                      Seen.Busy_ ? json(Seen.Busy_->value()) : json(nullptr)});
+                      Seen.Unreachable_.value(), Seen.Successes_.value()});
 }
 AttemptTally readEvidence(const json &Value) {
   auto Count = [&](std::size_t Index) {
     return EventCount(Value.at(Index).get<std::uint64_t>());
   };
   return {InstanceId(Value.at(0).get<std::string>()), Count(1), Count(2),
-          Count(3), Count(4),
-          Value.at(5).is_null()
-              ? std::nullopt
-              : std::optional(SlotCount(Value.at(5).get<std::uint32_t>()))};
-}
-
-/// One byte for each instance.
-json write(const InstanceLoads &Loads) {
-  std::vector<std::uint8_t> Bytes;
-  for (const std::optional<SlotCount> &Each : Loads.Busy_)
-    Bytes.push_back(Each ? static_cast<std::uint8_t>(std::min(
-                               Each->value(), GreatestWrittenLoad))
-                         : UnknownLoad);
-  return json::array(
-      {Loads.Revision_.value(), json::binary(std::move(Bytes))});
-}
-InstanceLoads readLoads(const json &Value) {
-  InstanceLoads Loads;
-  Loads.Revision_ = LogIndex(Value.at(0).get<std::uint64_t>());
-  for (std::uint8_t Byte : Value.at(1).get_binary())
-    Loads.Busy_.push_back(Byte == UnknownLoad
-                              ? std::nullopt
-                              : std::optional(SlotCount(Byte)));
-  return Loads;
+          Count(3), Count(4)};
 }
 
 json write(const ControlMember &Member) {
@@ -212,15 +185,13 @@
                            readAll(Value.at(6), readMember)};
   case Tag::RegistryCurrent:
     return RegistryCurrent{LogIndex(Value.at(1).get<std::uint64_t>()),
-                           readAll(Value.at(2), readInstanceId),
-                           readLoads(Value.at(3))};
+                           readAll(Value.at(2), readInstanceId)};
   case Tag::FollowerReported:
     return FollowerReported{FailureDomain(Value.at(1).get<std::string>()),
                             readAll(Value.at(2), readEvidence)};
   case Tag::LeaderJudged:
     return LeaderJudged{readAll(Value.at(1), readInstanceId),
-                        readLoads(Value.at(2)),
-                        readAll(Value.at(3), readMember)};
+                        readAll(Value.at(2), readMember)};
   default:
     throw json::other_error::create(501, "unknown kind of message", nullptr);
   }
@@ -273,7 +244,6 @@
                        json List = tagged(Tag::RegistryCurrent);
                        List.push_back(Each.Revision_.value());
                        List.push_back(writeAll(Each.Suspects_));
-                       List.push_back(write(Each.Loads_));
                        return List;
                      },
                      [](const FollowerReported &Each) {
@@ -285,7 +255,6 @@
                      [](const LeaderJudged &Each) {
                        json List = tagged(Tag::LeaderJudged);
                        List.push_back(writeAll(Each.Suspects_));
-                       List.push_back(write(Each.Loads_));
                        List.push_back(writeAll(Each.Members_));
                        return List;
                      },
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -230,10 +230,6 @@
   Requests_->post(std::move(Changed));
 }
 
-void GatewayDaemon::apply(LoadReported &Reported) {
-  Requests_->post(std::move(Reported));
-}
-
 void GatewayDaemon::apply(EjectionsChanged &Changed) {
   std::string Named;
   for (const InstanceId &Each : Changed.Ejected_)
--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -42,7 +42,6 @@
   void deliver(FleetSubscriptionEffect Effect);
   void apply(RoutingChanged &Changed);
   void apply(InstanceChanged &Changed);
-  void apply(LoadReported &Reported);
   void apply(EjectionsChanged &Changed);
   void apply(const ContactChanged &Changed);
   void record(const RecordStep &Step);
