--- /dev/null
+++ b/Tests/LibHTTP/TestHeaderDialect.cpp
@@ -0,0 +1,125 @@
+#include <LibHTTP/CallerListener.h>
+#include <LibHTTP/RequestReader.h>
+#include <LibHTTP/UpstreamClient.h>
+#include <LibRuntime/BoundedRing.h>
+#include <LibRuntime/SystemClock.h>
+#include <Support/CaseName.h>
+#include <Support/RawListener.h>
+
+#include <gtest/gtest.h>
+
+namespace jaybridge {
+namespace {
+
+HeaderDialect dialect() {
+  HeaderDialect Names;
+  Names.Form_ = RequestForm::HostAndPath;
+  Names.CallerRequestId_ = "X-Attempt";
+  Names.Deadline_ = "X-Left";
+  Names.ExpectedInstance_ = "X-Meant";
+  Names.NotRun_ = "X-Not-Run";
+  Names.NotRunValue_ = "";
+  Names.Signature_ = "X-Signed";
+  Names.Load_ = "X-Load";
+  return Names;
+}
+
+struct DialectCase {
+  const char *Name_;
+  std::string Answer_;
+  AttemptResult Result_;
+};
+
+class HeaderDialectTest : public testing::TestWithParam<DialectCase> {};
+
+// Guards against an answer of another request, or one that nobody vouches for,
+// that reaches a caller, and against a stated refusal that is taken for a run.
+TEST_P(HeaderDialectTest, JudgesTheAnswer) {
+  RawListener Upstream;
+  BoundedRing<AttemptFinished> Finished(RingCapacity(4));
+  UpstreamClientOptions Options;
+  Options.Dialect_ = dialect();
+  Options.ReusesConnections_ = false;
+  auto Client = UpstreamClient::create(Options, [&](AttemptFinished Ended) {
+                  EXPECT_TRUE(Finished.tryPush(std::move(Ended)));
+                }).takeValue();
+  auto Sent = std::make_shared<Request>();
+  Sent->Id_ = RequestId("inner");
+  Sent->CallerId_ = RequestId("outer");
+  Sent->Method_ = "GET";
+  Sent->Target_ = "/a?b";
+  Sent->Headers_ = {{"Host", "h.example"}};
+  Sent->Body_ = std::make_shared<const std::string>();
+  ASSERT_TRUE(Client.start({AttemptId(1), InstanceId("i-7"), Upstream.address(),
+                            Sent, monotonicNow() + 20s}));
+  std::unique_ptr<RawConnection> Connection = Upstream.accept();
+  ASSERT_TRUE(Connection);
+  std::string Received = Connection->readUntil("\r\n\r\n");
+  for (const char *Line :
+       {"GET /a?b HTTP/1.1\r\n", "Host: h.example\r\n", "X-Attempt: outer\r\n",
+        "X-Meant: i-7\r\n", "X-Left: "})
+    EXPECT_NE(Received.find(Line), std::string::npos) << Received;
+  Connection->send(GetParam().Answer_);
+  Connection.reset();
+  auto Ended = Finished.pop(std::chrono::steady_clock::now() + 20s);
+  ASSERT_TRUE(Ended);
+  EXPECT_EQ(Ended->Outcome_.Result_, GetParam().Result_);
+}
+
+std::string answerOf(const std::string &Status, const std::string &Headers) {
+  return "HTTP/1.1 " + Status + "\r\nContent-Length: 2\r\n" + Headers +
+         "\r\nok";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, HeaderDialectTest,
+    testing::Values(
+        DialectCase{"Own",
+                    answerOf("200 OK", "X-Attempt: outer\r\nX-Signed: s\r\n"),
+                    AttemptResult::Answered},
+        DialectCase{"OfAnotherRequest",
+                    answerOf("200 OK", "X-Attempt: other\r\nX-Signed: s\r\n"),
+                    AttemptResult::CutShort},
+        DialectCase{"WithoutAnId", answerOf("200 OK", "X-Signed: s\r\n"),
+                    AttemptResult::CutShort},
+        DialectCase{"Unsigned", answerOf("200 OK", "X-Attempt: outer\r\n"),
+                    AttemptResult::CutShort},
+        DialectCase{"Failure", answerOf("500 No", "X-Attempt: outer\r\n"),
+                    AttemptResult::Answered},
+        DialectCase{"NotRun",
+                    answerOf("503 No", "X-Attempt: outer\r\nX-Not-Run: 1\r\n"),
+                    AttemptResult::RefusedNotRun},
+        DialectCase{"AnotherInstance", answerOf("421 No", ""),
+                    AttemptResult::RefusedNotRun},
+        DialectCase{"CutShort",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+                    "X-Attempt: outer\r\nX-Signed: s\r\n\r\nok",
+                    AttemptResult::CutShort},
+        DialectCase{"Nothing", "", AttemptResult::ConnectionLost}),
+    CaseName());
+
+// Guards against a path, host or id that is changed on its way.
+TEST(RoutedRequestTest, KeepsTargetHostAndCallersId) {
+  ReceivedMessage Received;
+  Received.Method_ = "GET";
+  Received.Target_ = "/a/b?c";
+  Received.Headers_ = {{"Host", "h.example:80"},
+                       {"X-Attempt", "outer"},
+                       {"X-Left", "1500"},
+                       {"X-Meant", "spoofed"},
+                       {"X-Other", "kept"}};
+  auto Read = readRequest(RequestId("inner"), std::move(Received),
+                          ByteCount(100), dialect(), TimePoint{});
+  ASSERT_TRUE(std::holds_alternative<Request>(Read));
+  const Request &Given = std::get<Request>(Read);
+  EXPECT_EQ(Given.Target_, "/a/b?c");
+  EXPECT_EQ(Given.Authority_, "h.example:80");
+  EXPECT_TRUE(Given.Service_.isEmpty());
+  EXPECT_EQ(Given.CallerId_, RequestId("outer"));
+  EXPECT_EQ(Given.Deadline_, TimePoint{} + 1500ms);
+  EXPECT_EQ(Given.Headers_, (std::vector<Header>{{"Host", "h.example:80"},
+                                                 {"X-Other", "kept"}}));
+}
+
+} // namespace
+} // namespace jaybridge
--- /dev/null
+++ b/Tests/LibRegistry/TestHealthBoard.cpp
@@ -0,0 +1,144 @@
+#include <LibRegistry/HealthBoard.h>
+
+#include <Support/CaseName.h>
+
+#include <gtest/gtest.h>
+
+namespace jaybridge {
+namespace {
+
+enum class Seen { Lost, Error, Unreachable, Success };
+
+AttemptTally tally(const std::string &Id, Seen What) {
+  AttemptTally One;
+  One.Id_ = InstanceId(Id);
+  switch (What) {
+  case Seen::Lost:
+    One.Lost_ = EventCount(1);
+    break;
+  case Seen::Error:
+    One.Errors_ = EventCount(1);
+    break;
+  case Seen::Unreachable:
+    One.Unreachable_ = EventCount(1);
+    break;
+  case Seen::Success:
+    One.Successes_ = EventCount(1);
+    break;
+  }
+  return One;
+}
+
+ServiceRegistry poolOf(std::size_t Count) {
+  ServiceRegistry Registry;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Registry.apply(StoreInstance{InstanceRecord{
+        InstanceId("i" + std::to_string(Index)), ServiceName("s"),
+        Endpoint::create("10.0.0." + std::to_string(Index + 1) + ":80")
+            .takeValue(),
+        FailureDomain("d"), SlotCount(4), InstanceState::Serving,
+        Incarnation(1)}});
+  return Registry;
+}
+
+struct EvidenceCase {
+  const char *Name_;
+  std::vector<Seen> Outcomes_;
+  bool IsSuspect_;
+};
+
+class EvidenceTest : public testing::TestWithParam<EvidenceCase> {};
+
+// Guards against gray failures that stay in use at two requests a second, and
+// against healthy instances that are suspected for chance errors.
+TEST_P(EvidenceTest, WeighsFailuresAgainstSuccesses) {
+  HealthBoard Board;
+  TimePoint Now{};
+  for (Seen Each : GetParam().Outcomes_) {
+    Now += 100ms;
+    Board.record(tally("i0", Each), Now);
+  }
+  EXPECT_EQ(Board.isSuspect(InstanceId("i0"), Now), GetParam().IsSuspect_);
+}
+
+constexpr auto Lost = Seen::Lost;
+constexpr auto Good = Seen::Success;
+
+INSTANTIATE_TEST_SUITE_P(
+    Outcomes, EvidenceTest,
+    testing::Values(
+        EvidenceCase{"Nothing", {}, false},
+        EvidenceCase{"OneLostOfFew", {Good, Lost}, true},
+        EvidenceCase{
+            "OneLostOfMany", {Good, Good, Good, Good, Good, Good, Lost}, false},
+        EvidenceCase{
+            "TwoLostOfMany", {Good, Good, Good, Good, Good, Lost, Lost}, true},
+        EvidenceCase{"OneError", {Seen::Error}, false},
+        EvidenceCase{"OneGatewayWithoutAPath", {Seen::Unreachable}, false},
+        EvidenceCase{"NoGatewayHasAPath",
+                     {Seen::Unreachable, Seen::Unreachable, Seen::Unreachable},
+                     true}),
+    CaseName());
+
+// Guards against a caller's request lost each second to an instance that keeps
+// failing, and against a recovered one that stays out.
+TEST(HealthBoardTest, DoublesTheHoldWithEachFailedTrial) {
+  HealthBoard Board;
+  const InstanceId Id("i0");
+  TimePoint Now{};
+  Board.record(tally("i0", Lost), Now);
+  Now += HealthBoard::FirstHold;
+  EXPECT_FALSE(Board.isSuspect(Id, Now));
+  Board.record(tally("i0", Lost), Now);
+  EXPECT_TRUE(Board.isSuspect(Id, Now + 2 * HealthBoard::FirstHold - 1ms));
+  Now += 2 * HealthBoard::FirstHold;
+  EXPECT_FALSE(Board.isSuspect(Id, Now));
+  Now += HealthBoard::TrialTime;
+  Board.record(tally("i0", Good), Now);
+  Board.record(tally("i0", Lost), Now + 1s);
+  EXPECT_FALSE(Board.isSuspect(Id, Now + 1s + HealthBoard::FirstHold));
+}
+
+// Guards against dead instances that use up the share which may be ejected, so
+// that failing ones stay in use: giliran-sel scale-2 lost a fifth of its
+// tickets so.
+TEST(HealthBoardTest, TakesProvenFailuresOutOfTheFloor) {
+  HealthBoard Board;
+  ServiceRegistry Registry = poolOf(12);
+  TimePoint Now{};
+  for (int Index = 0; Index < 6; ++Index)
+    Board.record(tally("i" + std::to_string(Index), Lost), Now);
+  EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 6U);
+}
+
+// Guards against healthy capacity lost to weak evidence about many instances.
+TEST(HealthBoardTest, KeepsTheFloorOnWeakEvidence) {
+  HealthBoard Board;
+  ServiceRegistry Registry = poolOf(10);
+  TimePoint Now{};
+  for (int Index = 0; Index < 8; ++Index) {
+    std::string Id = "i" + std::to_string(Index);
+    for (Seen Each : {Good, Good, Good, Good, Lost, Lost})
+      Board.record(tally(Id, Each), Now);
+  }
+  EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 3U);
+}
+
+// Guards against a service that goes without recovered instances while it
+// lacks capacity.
+TEST(HealthBoardTest, TriesTheOldestSoonerWhereInstancesAreScarce) {
+  HealthBoard Board;
+  ServiceRegistry Registry = poolOf(4);
+  TimePoint Now{};
+  for (int Trial = 0; Trial < 2; ++Trial) {
+    for (int Index = 0; Index < 3; ++Index)
+      Board.record(tally("i" + std::to_string(Index), Lost), Now);
+    EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 3U);
+    Now += HealthBoard::FirstHold;
+  }
+  // Their second holds last longer, but only one of four may go on.
+  EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 1U);
+}
+
+} // namespace
+} // namespace jaybridge
