LibRouting: Keep early requests until the routes are known

Change: a restarted member may ask for votes at once; a member that becomes current answers gateways that asked before; requests are kept up to 0.8 s. Ruled out: the platform's return to rotation: connections arrived all the while.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -98,8 +98,7 @@
   // Instances and operators.
   void on(const InstanceAnnouncedItself &Said, TimePoint Now, Effects &Out) {
     if (isCurrent() && !Registry_.isNews(Said.Record_))
-      return answer(Said.Query_, Acknowledged{nearbyMember(Said.Record_)},
-                    Out);
+      return answer(Said.Query_, Acknowledged{nearbyMember(Said.Record_)}, Out);
     change(Said.Query_, StoreInstance{Said.Record_}, Now, Out);
   }
   void on(const InstanceSaidGoodbye &Said, TimePoint Now, Effects &Out) {
@@ -190,8 +189,14 @@
 
   void subscribe(const MemberId &From, const Subscribe &Asked, TimePoint Now,
                  Effects &Out) {
-    // Silence sends the gateway to another member.
-    if (!isCurrent() || Asked.Revision_ > Revision_ ||
+    // Silence sends the gateway to another member, but the first member that
+    // is current answers those that asked before.
+    if (!isCurrent()) {
+      if (Early_.size() < SubscriberTable::Greatest)
+        Early_[From] = Asked;
+      return;
+    }
+    if (Asked.Revision_ > Revision_ ||
         !Subscribers_.renew(From, Asked.Revision_, Now))
       return;
     if (Asked.Revision_ == Revision_ && Revision_ > LogIndex())
@@ -207,6 +212,13 @@
     Subscribers_.noteSent(From, Revision_);
   }
 
+  void answerEarly(TimePoint Now, Effects &Out) {
+    std::map<MemberId, Subscribe> Asked;
+    Asked.swap(Early_);
+    for (const auto &[From, Each] : Asked)
+      subscribe(From, Each, Now, Out);
+  }
+
   void take(const std::vector<AttemptTally> &Seen, TimePoint Now,
             Effects &Out) {
     bool HasFailure = false;
@@ -331,6 +343,8 @@
     LogEffects_.clear();
     if (Log_.leader() == KnownLeader_ && Log_.term() == KnownTerm_)
       return;
+    if (isCurrent())
+      answerEarly(Now, Out);
     bool IsNewLeader = Log_.leader() != KnownLeader_;
     KnownLeader_ = Log_.leader();
     KnownTerm_ = Log_.term();
@@ -451,6 +465,8 @@
   /// Index of the last command that changed the registry.
   LogIndex Revision_;
   SubscriberTable Subscribers_;
+  /// Gateways that asked while this member was not current.
+  std::map<MemberId, Subscribe> Early_;
   HealthBoard Board_;
   std::vector<InstanceId> Suspects_;
   TimePoint JudgedAt_{};
--- a/Libraries/LibRegistry/FleetSubscription.cpp
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -144,9 +144,11 @@
 bool FleetSubscriptionState::accepts(const MemberId &From,
                                      const RegistryUpdated &Update,
                                      TimePoint Now, Effects &Out) {
-  // A member that was left may be behind the one that is followed now.
-  if (Contact_ != From)
+  // A member that was left may be behind the one that is followed now. While
+  // none is, the first that answers is.
+  if (Contact_ != From && (IsConfirmed_ || Update.Since_))
     return false;
+  Contact_ = From;
   if (Update.Since_ ? *Update.Since_ != Revision_
                     : Update.Revision_ < Revision_) {
     subscribe(Now, Out);
--- a/Libraries/LibRegistry/FleetSubscription.h
+++ b/Libraries/LibRegistry/FleetSubscription.h
@@ -128,11 +128,12 @@
     if (const auto *Update = std::get_if<RegistryUpdated>(&Received.Message_)) {
       if (!State_.accepts(Received.From_, *Update, Now, Out))
         return;
+      // Requests may wait for the routes; they need the instances then.
+      State_.applyInstances(*Update, Out);
       if (Update->Document_)
         adopt(*Update->Document_, Out);
       if (Update->Delta_)
         adopt(*Update->Delta_, Out);
-      State_.applyInstances(*Update, Out);
     } else if (const auto *Current =
                    std::get_if<RegistryCurrent>(&Received.Message_)) {
       State_.confirm(Received.From_, *Current, Now, Out);
--- a/Libraries/LibRegistry/HealthBoard.cpp
+++ b/Libraries/LibRegistry/HealthBoard.cpp
@@ -76,8 +76,7 @@
 }
 
 std::vector<InstanceId> HealthBoard::suspects(const ServiceRegistry &Registry,
-                                              Percentage Floor,
-                                              TimePoint Now) {
+                                              Percentage Floor, TimePoint Now) {
   std::map<ServiceName, Pool> Pools;
   for (const auto &[Id, Record] : Registry.instances()) {
     if (Record.State_ != InstanceState::Serving)
--- a/Libraries/LibReplication/ReplicatedLog.cpp
+++ b/Libraries/LibReplication/ReplicatedLog.cpp
@@ -45,7 +45,14 @@
     Created.CommitIndex_ = Snapshot->LastIndex_;
   Created.Writes_.setSyncedIndex(Created.Log_.lastIndex());
   Created.NextJoinRequest_ = Now;
-  Created.resetElectionTimer(Now);
+  // After a restart of all members nobody leads, and no leader needs to be
+  // waited for: a pre-vote is refused while there is one.
+  Created.ElectionDeadline_ =
+      Now + Created.Settings_.Heartbeat_ +
+      Duration(static_cast<Duration::rep>(Created.Random_.below(
+          static_cast<std::uint64_t>(
+              Created.Settings_.ElectionTimeout_.count()) /
+          2)));
   return Created;
 }
 
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -8,6 +8,9 @@
 
 /// Time after which a caller refused at the door may try again.
 constexpr Duration RetryAfter = 1s;
+/// A gateway that has just started is told its routes within about a second;
+/// what can be answered then is not refused before.
+constexpr Duration EarlyPatience = 800ms;
 /// Homes that one request is forwarded to before it is served here.
 constexpr std::size_t GreatestForwards = 2;
 /// Kept back from the deadline of a forwarded request, so that the home's
@@ -65,7 +68,7 @@
                           Effects &Out) {
   const Request &Received = *Incoming.Request_;
   if (!Routes_)
-    return refuseNew(Received, RefusalReason::NotReady, Out);
+    return holdEarly(Incoming, Now, Out);
   const Route *Taken = Routes_->find(
       hostNameOf(Received.Authority_),
       std::string_view(Received.Target_).substr(0, Received.Target_.find('?')));
@@ -81,6 +84,20 @@
   open(Incoming, std::move(Started), Now, Out);
 }
 
+void Gateway::holdEarly(const RequestReceived &Incoming, TimePoint Now,
+                        Effects &Out) {
+  if (Early_.size() >= Settings_.QueueCapacity_.value())
+    return refuseNew(*Incoming.Request_, RefusalReason::NotReady, Out);
+  Early_.push_back(EarlyRequest{Incoming, Now + EarlyPatience});
+}
+
+void Gateway::refuseLateEarly(TimePoint Now, Effects &Out) {
+  while (!Early_.empty() && Early_.front().GivesUpAt_ <= Now) {
+    refuseNew(*Early_.front().Incoming_.Request_, RefusalReason::NotReady, Out);
+    Early_.pop_front();
+  }
+}
+
 const ServiceName &Gateway::choosePart(const Route &Taken) {
   std::uint64_t Sum = 0;
   for (const RoutePart &Part : Taken.Values_.Parts_)
@@ -107,6 +124,9 @@
 }
 
 void Gateway::on(const CallerGone &Incoming, TimePoint Now, Effects &Out) {
+  std::erase_if(Early_, [&](const EarlyRequest &Each) {
+    return Each.Incoming_.Request_->Id_ == Incoming.Id_;
+  });
   RequestExecution *Running = Requests_.find(Incoming.Id_);
   if (Running && Running->phase() != RequestExecution::Phase::Settling)
     Requests_.refuse(*Running, RefusalReason::CallerGone, Now, Out);
@@ -121,12 +141,15 @@
   Requests_.configure(Incoming);
 }
 
-void Gateway::on(const RoutingChanged &Incoming, TimePoint /*Now*/,
-                 Effects & /*Out*/) {
+void Gateway::on(const RoutingChanged &Incoming, TimePoint Now, Effects &Out) {
   if (Routes_ && Incoming.Table_->version() < Routes_->version())
     return;
   Routes_ = Incoming.Table_;
   Requests_.configure(CatalogChanged{Routes_->version(), Routes_->policies()});
+  std::deque<EarlyRequest> Early;
+  Early.swap(Early_);
+  for (const EarlyRequest &Each : Early)
+    openByRoute(Each.Incoming_, Now, Out);
 }
 
 void Gateway::on(const InstanceChanged &Incoming, TimePoint Now, Effects &Out) {
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -4,6 +4,8 @@
 #include <LibRouting/GatewaySettings.h>
 #include <LibRouting/RequestDispatcher.h>
 
+#include <deque>
+
 namespace jaybridge {
 
 /// Decides about each request: whether it is admitted, whether it is forwarded
@@ -22,9 +24,15 @@
   static Result<Gateway> create(GatewaySettings Settings, RandomSeed Seed);
 
   void handle(const Event &Incoming, TimePoint Now, Effects &Out);
-  void advance(TimePoint Now, Effects &Out) { Requests_.advance(Now, Out); }
+  void advance(TimePoint Now, Effects &Out) {
+    refuseLateEarly(Now, Out);
+    Requests_.advance(Now, Out);
+  }
   std::optional<TimePoint> nextDeadline() const {
-    return Requests_.nextDeadline();
+    auto Next = Requests_.nextDeadline();
+    if (!Early_.empty() && (!Next || Early_.front().GivesUpAt_ < *Next))
+      Next = Early_.front().GivesUpAt_;
+    return Next;
   }
 
   /// True when a drain has started and no request is in progress.
@@ -68,6 +76,15 @@
   GatewaySettings Settings_;
   bool IsDraining_ = false;
   RequestDispatcher Requests_;
+  struct EarlyRequest {
+    RequestReceived Incoming_;
+    TimePoint GivesUpAt_;
+  };
+  /// Keeps a request until the routing table is known, as after a restart.
+  void holdEarly(const RequestReceived &Incoming, TimePoint Now, Effects &Out);
+  void refuseLateEarly(TimePoint Now, Effects &Out);
+
+  std::deque<EarlyRequest> Early_;
   std::shared_ptr<const RoutingTable> Routes_;
   Random Random_;
 };
