--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -121,7 +121,7 @@
     if (Newest_ && Newest_->Version_ < Offered.Document_.Version_)
       Delta = deltaBetween(*Newest_, Offered.Document_);
     if (Delta)
-      change(Offered.Query_, std::move(*Delta), Now, Out);
+      change(Offered.Query_, *Delta, Now, Out);
     else
       change(Offered.Query_, Offered.Document_, Now, Out);
     if (Log_.isLeader() &&
--- a/Tests/LibRouting/TestRoutedRequests.cpp
+++ b/Tests/LibRouting/TestRoutedRequests.cpp
@@ -135,7 +135,8 @@
     ToSecond += Sent->Request_->Service_ == ServiceName("t") ? 1 : 0;
     Gateway_.finish(Sent->Attempt_, makeOutcome(AttemptResult::Answered));
   }
-  EXPECT_NEAR(ToSecond, Requests / 10, Requests / 40);
+  EXPECT_GE(ToSecond, Requests / 10 - Requests / 40);
+  EXPECT_LE(ToSecond, Requests / 10 + Requests / 40);
 }
 
 } // namespace
