--- a/Tests/LibRouting/TestGateway.cpp
+++ b/Tests/LibRouting/TestGateway.cpp
@@ -447,7 +447,8 @@
     World.advanceTo(World.Now_ + 200ms);
     Sent += World.count<SendAttempt>();
   }
-  EXPECT_LE(Sent, Requests + Requests / 10 + RetryBudgetBounds{}.Reserve_.value());
+  EXPECT_LE(Sent,
+            Requests + Requests / 10 + RetryBudgetBounds{}.Reserve_.value());
   EXPECT_GT(Sent, Requests);
 }
 
