LibRegistry: Bound the rate of whole registries and suspicions

Each new suspicion sent all of them to all gateways, and each announcement with another revision made the gateway ask for the whole registry again, so that its link filled up. Change: a whole registry at most every 1.5 s for a gateway, resynchronisation at most every 0.5 s, new suspicions together every 0.1 s. Ruled out: the election; the members' leader was stable.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -32,6 +32,8 @@
   /// How often subscribers hear that they are up to date. Several intervals
   /// fit into the time after which a gateway looks for another member.
   Duration CurrentInterval_ = 400ms;
+  /// The shortest time between announcements when suspicions arise.
+  Duration HasteInterval_ = 100ms;
   /// How often followers report to the leader without a failure to tell.
   Duration ReportInterval_ = 1s;
 };
@@ -62,9 +64,13 @@
       announceCurrent(Now, Out);
     if (Now >= NextReport_)
       report(Now, Out);
+    if (Log_.isLeader() && Now >= NextJudgement_)
+      tellFollowers(Now, Out);
   }
   std::optional<TimePoint> nextDeadline() const {
     TimePoint Next = std::min(NextCurrent_, NextReport_);
+    if (Log_.isLeader())
+      Next = std::min(Next, NextJudgement_);
     if (auto Due = Log_.nextDeadline())
       Next = std::min(Next, *Due);
     return Next;
@@ -201,6 +207,8 @@
       return;
     if (Asked.Revision_ == Revision_ && Revision_ > LogIndex())
       return send(From, RegistryCurrent{Revision_, Suspects_}, Out);
+    if (!Subscribers_.takeWholeTurn(From, Now))
+      return;
     RegistryUpdated Whole;
     Whole.Revision_ = Revision_;
     if (Registry_.document() && Asked.Version_ < Registry_.version())
@@ -237,19 +245,22 @@
     JudgedAt_ = Now;
     for (const ControlMember &Each : Judged.Members_)
       Members_[Each.Id_] = Each.Domain_;
-    setSuspects(Judged.Suspects_, Out);
+    setSuspects(Judged.Suspects_, Now, Out);
   }
 
-  void setSuspects(std::vector<InstanceId> Suspects, Effects &Out) {
+  void setSuspects(std::vector<InstanceId> Suspects, TimePoint Now,
+                   Effects &Out) {
     if (Suspects == Suspects_)
       return;
     bool HasNew = !std::includes(Suspects_.begin(), Suspects_.end(),
                                  Suspects.begin(), Suspects.end());
     Suspects_ = std::move(Suspects);
     Out.emplace_back(SuspectsChanged{Suspects_});
-    // The end of a suspicion can wait for the next announcement.
+    // The end of a suspicion can wait for the next announcement; new ones are
+    // told together where they come in quick succession.
     if (HasNew)
-      tellSubscribers(Out);
+      NextCurrent_ = std::min(
+          NextCurrent_, std::max(Now, ToldAt_ + Settings_.HasteInterval_));
   }
 
   void tellSubscribers(Effects &Out) {
@@ -261,6 +272,7 @@
 
   void announceCurrent(TimePoint Now, Effects &Out) {
     NextCurrent_ = Now + Settings_.CurrentInterval_;
+    ToldAt_ = Now;
     Subscribers_.expire(Now);
     if (!Log_.isLeader() && Now > JudgedAt_ + 3 * Settings_.ReportInterval_)
       Suspects_.clear();
@@ -276,8 +288,6 @@
     if (Log_.isLeader()) {
       Unreported_.clear();
       judge(Now, Out);
-      if (Now >= NextJudgement_)
-        tellFollowers(Now, Out);
       return;
     }
     if (!Log_.leader())
@@ -297,13 +307,16 @@
       return;
     bool HasNew = !std::includes(Suspects_.begin(), Suspects_.end(),
                                  Suspected.begin(), Suspected.end());
-    setSuspects(std::move(Suspected), Out);
+    setSuspects(std::move(Suspected), Now, Out);
     if (HasNew)
-      tellFollowers(Now, Out);
+      NextJudgement_ =
+          std::min(NextJudgement_,
+                   std::max(Now, JudgementToldAt_ + Settings_.HasteInterval_));
   }
 
   void tellFollowers(TimePoint Now, Effects &Out) {
     NextJudgement_ = Now + Settings_.ReportInterval_;
+    JudgementToldAt_ = Now;
     for (const Voter &Each : Log_.members().Voters_)
       if (Each.Id_ != Settings_.Self_)
         send(Each.Id_, LeaderJudged{Suspects_, members()}, Out);
@@ -483,6 +496,8 @@
   TimePoint NextCurrent_{};
   TimePoint NextReport_{};
   TimePoint NextJudgement_{};
+  TimePoint ToldAt_{};
+  TimePoint JudgementToldAt_{};
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRegistry/FleetSubscription.cpp
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -109,6 +109,13 @@
   subscribe(Now, Out);
 }
 
+void FleetSubscriptionState::resynchronize(TimePoint Now, Effects &Out) {
+  if (Now < ResynchronizeAt_)
+    return;
+  ResynchronizeAt_ = Now + Settings_.ResynchronizeInterval_;
+  subscribe(Now, Out);
+}
+
 void FleetSubscriptionState::subscribe(TimePoint Now, Effects &Out) {
   NextRenewal_ = Now + Settings_.RenewInterval_;
   if (Contact_)
@@ -151,7 +158,7 @@
   Contact_ = From;
   if (Update.Since_ ? *Update.Since_ != Revision_
                     : Update.Revision_ < Revision_) {
-    subscribe(Now, Out);
+    resynchronize(Now, Out);
     return false;
   }
   heard(From, Now, Out);
@@ -194,7 +201,7 @@
   if (Contact_ != From)
     return;
   if (Said.Revision_ != Revision_)
-    return subscribe(Now, Out);
+    return resynchronize(Now, Out);
   heard(From, Now, Out);
   applySuspects(Said.Suspects_, Now, Out);
 }
--- a/Libraries/LibRegistry/FleetSubscription.h
+++ b/Libraries/LibRegistry/FleetSubscription.h
@@ -24,6 +24,7 @@
   /// Before the first contact: members start at about the same time.
   Duration FirstContactTimeout_ = 400ms;
   Duration RenewInterval_ = 1s;
+  Duration ResynchronizeInterval_ = 500ms;
   /// A member in another failure domain is followed at least for so long, so
   /// that a nearer one that does not answer is not tried all the time.
   Duration SettleTime_ = 3s;
@@ -75,6 +76,8 @@
   /// A member in the own failure domain is known and is not the one followed.
   bool hasNearerMember(TimePoint Now) const;
   void chooseNext(TimePoint Now, Effects &Out);
+  /// Asks for what was missed, but not for each message that shows it.
+  void resynchronize(TimePoint Now, Effects &Out);
   void subscribe(TimePoint Now, Effects &Out);
   void reportEvidence(Effects &Out);
   void applySuspects(const std::vector<InstanceId> &Suspects, TimePoint Now,
@@ -93,6 +96,7 @@
   TimePoint ConfirmedAt_{};
   TimePoint GiveUpAt_{};
   TimePoint NextRenewal_{};
+  TimePoint ResynchronizeAt_{};
   LogIndex Revision_;
   ConfigurationVersion Version_;
   std::map<InstanceId, InstanceRecord> Instances_;
--- a/Libraries/LibRegistry/SubscriberTable.cpp
+++ b/Libraries/LibRegistry/SubscriberTable.cpp
@@ -6,7 +6,17 @@
                             TimePoint Now) {
   if (!Subscribers_.contains(Id) && Subscribers_.size() >= Greatest)
     return false;
-  Subscribers_[Id] = Subscriber{Revision, Now};
+  Subscriber &Known = Subscribers_[Id];
+  Known.Revision_ = Revision;
+  Known.RenewedAt_ = Now;
+  return true;
+}
+
+bool SubscriberTable::takeWholeTurn(const MemberId &Id, TimePoint Now) {
+  Subscriber &Known = Subscribers_.at(Id);
+  if (Now < Known.WholeDueAt_)
+    return false;
+  Known.WholeDueAt_ = Now + WholeInterval;
   return true;
 }
 
--- a/Libraries/LibRegistry/SubscriberTable.h
+++ b/Libraries/LibRegistry/SubscriberTable.h
@@ -19,10 +19,18 @@
   struct Subscriber {
     LogIndex Revision_;
     TimePoint RenewedAt_;
+    /// When the whole registry may be sent again.
+    TimePoint WholeDueAt_;
   };
 
+  /// A slow link needs its time for a whole registry; a second copy behind the
+  /// first would only delay both.
+  static constexpr Duration WholeInterval = 1500ms;
+
   /// False when there are too many.
   bool renew(const MemberId &Id, LogIndex Revision, TimePoint Now);
+  /// Whether the whole registry may be sent now; if so, it counts as sent.
+  bool takeWholeTurn(const MemberId &Id, TimePoint Now);
   /// The update was sent; the subscriber says so if it did not arrive.
   void noteSent(const MemberId &Id, LogIndex Revision);
   void expire(TimePoint Now);
