--- a/Libraries/LibProfile/RoutingTable.cpp
+++ b/Libraries/LibProfile/RoutingTable.cpp
@@ -49,15 +49,15 @@
   for (auto &[Host, Routes] : Created.Hosts_)
     std::stable_sort(Routes.begin(), Routes.end(),
                      [](const Route &Left, const Route &Right) {
-                       return Left.Values_.PathPrefix_.size() >
-                              Right.Values_.PathPrefix_.size();
+                       return Left.Values_.Prefix_.size() >
+                              Right.Values_.Prefix_.size();
                      });
   return Created;
 }
 
 Status RoutingTable::add(RouteDraft Draft) {
   const std::string &Name = Draft.Name_.text();
-  if (Draft.PathPrefix_.empty() || Draft.PathPrefix_.front() != '/')
+  if (Draft.Prefix_.empty() || Draft.Prefix_.front() != '/')
     return invalid(Name, "the path prefix must begin with a slash");
   if (Draft.GreatestAttempts_ == AttemptCount(0))
     return invalid(Name, "at least one attempt must be permitted");
@@ -77,7 +77,7 @@
   JAYBRIDGE_TRY(Profile Rules, Profile::create(profileDraftOf(Draft)));
   std::vector<Route> &Routes = Hosts_[Draft.Host_];
   for (const Route &Known : Routes)
-    if (Known.Values_.PathPrefix_ == Draft.PathPrefix_)
+    if (Known.Values_.Prefix_ == Draft.Prefix_)
       return invalid(Name, "the route '" + Known.Values_.Name_.text() +
                                "' has the same host and prefix");
   Routes.push_back(Route{std::move(Draft), std::move(Rules)});
@@ -91,7 +91,7 @@
   if (Found == Hosts_.end())
     return nullptr;
   for (const Route &Each : Found->second)
-    if (Path.starts_with(Each.Values_.PathPrefix_))
+    if (Path.starts_with(Each.Values_.Prefix_))
       return &Each;
   return nullptr;
 }
--- a/Libraries/LibProfile/RoutingTable.h
+++ b/Libraries/LibProfile/RoutingTable.h
@@ -29,7 +29,7 @@
   RouteName Name_;
   HostName Host_;
   /// Begins with a slash.
-  std::string PathPrefix_;
+  std::string Prefix_;
   std::vector<RoutePart> Parts_;
   Repeatability Repeat_ = Repeatability::AtMostOnce;
   /// The longest time that a caller is kept waiting.
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -17,7 +17,7 @@
     RouteDraft Route;
     Route.Name_ = RouteName(Host);
     Route.Host_ = HostName(Host);
-    Route.PathPrefix_ = "/";
+    Route.Prefix_ = "/";
     Route.Parts_ = {RoutePart{ServiceName(Service)}};
     Draft.Routes_.push_back(std::move(Route));
   }
--- a/Tests/LibRouting/TestRoutedRequests.cpp
+++ b/Tests/LibRouting/TestRoutedRequests.cpp
@@ -14,7 +14,7 @@
   RouteDraft Route;
   Route.Name_ = RouteName("r");
   Route.Host_ = HostName("a.example");
-  Route.PathPrefix_ = "/p/";
+  Route.Prefix_ = "/p/";
   Route.Parts_ = std::move(Parts);
   Route.Repeat_ = Repeatability::Repeatable;
   Route.Patience_ = 2s;
