--- a/Libraries/LibReplication/ReplicatedLog.h
+++ b/Libraries/LibReplication/ReplicatedLog.h
@@ -111,7 +111,6 @@
   void receive(const PersistFailed &Failure, Step &S);
   void receive(const SnapshotTaken &Taken, Step &S);
   void receive(const ReplaceMember &Replace, Step &S);
-  void receive(const ContactsLearned &Learned, Step &S);
   void announceRecovered(Step &S);
   void stop(Error Reason, Step &S);
   void refuseWhileStopped(const Event &Received, Step &S);
@@ -202,8 +201,6 @@
   TimePoint NextHeartbeat_;
 
   std::map<MemberId, Joiner> Joiners_;
-  /// Members besides the configured ones that may know the leader.
-  std::vector<MemberId> Contacts_;
   TimePoint NextJoinRequest_;
 };
 
--- a/Libraries/LibReplication/ReplicatedLogMembers.cpp
+++ b/Libraries/LibReplication/ReplicatedLogMembers.cpp
@@ -6,8 +6,6 @@
   NextJoinRequest_ = S.Now_ + Settings_.ElectionTimeout_;
   for (const MemberId &Each : Settings_.Members_)
     send(Each, JoinRequest{Log_.isEmpty()}, S);
-  for (const MemberId &Each : Contacts_)
-    send(Each, JoinRequest{Log_.isEmpty()}, S);
   formIfAllEmpty(S);
 }
 
@@ -78,15 +76,6 @@
         *Leader_, ReplicationMessage{From, Message.Term_, Request}});
 }
 
-void ReplicatedLog::receive(const ContactsLearned &Learned, Step &) {
-  Contacts_.clear();
-  for (const MemberId &Each : Learned.Members_)
-    if (Each != Settings_.Self_ &&
-        std::find(Settings_.Members_.begin(), Settings_.Members_.end(), Each) ==
-            Settings_.Members_.end())
-      Contacts_.push_back(Each);
-}
-
 std::optional<TimePoint> ReplicatedLog::lastHeard(const Voter &Asked) const {
   auto Found = Progress_.find(Asked);
   if (!isLeader() || Found == Progress_.end())
--- a/Libraries/LibReplication/ReplicationMessages.h
+++ b/Libraries/LibReplication/ReplicationMessages.h
@@ -140,14 +140,9 @@
   MemberId Joining_;
 };
 
-/// Members that may know the leader, beside the configured ones.
-struct ContactsLearned {
-  std::vector<MemberId> Members_;
-};
-
 using ReplicationEvent =
     std::variant<ReplicationMessage, Propose, ReadIndex, Persisted,
-                 PersistFailed, SnapshotTaken, ReplaceMember, ContactsLearned>;
+                 PersistFailed, SnapshotTaken, ReplaceMember>;
 
 // Effects.
 
