LibRouting: Choose between two instances of the own domain and one elsewhere

Ruled out: a larger preference for the own domain alone, which leaves the instances of a domain unbalanced.

Change: two candidates from the own domain, one from anywhere; an instance of another domain is taken when it has two more of four slots free.

--- a/Libraries/LibRouting/PowerOfTwoChoices.h
+++ b/Libraries/LibRouting/PowerOfTwoChoices.h
@@ -7,26 +7,34 @@
 
 namespace jaybridge {
 
-/// The cheaper of two random candidates (Mitzenmacher 2001), of which the first
-/// is drawn from the own failure domain where possible.
+/// The cheapest of two random candidates (Mitzenmacher 2001) of the own failure
+/// domain and of one from anywhere. Without candidates in the own domain, the
+/// cheaper of two from anywhere.
 class PowerOfTwoChoices {
 public:
   explicit PowerOfTwoChoices(RandomSeed Seed) : Random_(Seed) {}
 
   template <CandidateList List>
   std::optional<std::size_t> choose(const List &Given) {
-    std::optional<std::size_t> First = drawLocal(Given);
-    if (!First)
-      First = draw(Given, std::nullopt);
-    if (!First)
+    std::optional<std::size_t> Chosen = drawLocal(Given);
+    if (!Chosen)
+      Chosen = draw(Given, std::nullopt);
+    else
+      Chosen = cheaper(Given, Chosen, drawLocal(Given));
+    if (!Chosen)
       return std::nullopt;
-    std::optional<std::size_t> Second = draw(Given, First);
-    if (Second && Given.cost(*Second) < Given.cost(*First))
-      return Second;
-    return First;
+    return cheaper(Given, Chosen, draw(Given, Chosen));
   }
 
 private:
+  /// The first unless the second is cheaper.
+  template <CandidateList List>
+  static std::optional<std::size_t> cheaper(const List &Given,
+                                            std::optional<std::size_t> First,
+                                            std::optional<std::size_t> Second) {
+    return Second && Given.cost(*Second) < Given.cost(*First) ? Second : First;
+  }
+
   template <CandidateList List>
   std::optional<std::size_t> drawLocal(const List &Given) {
     if (Given.localCount() == 0)
--- a/Libraries/LibUpstream/UpstreamPool.h
+++ b/Libraries/LibUpstream/UpstreamPool.h
@@ -17,7 +17,7 @@
 public:
   /// Cost of an instance in another failure domain: one in the own domain is
   /// preferred until it has one more of four slots in use.
-  static constexpr SelectionCost RemoteCost{0.25};
+  static constexpr SelectionCost RemoteCost{0.5};
   /// Instances that join a pool within this time of its first one are not
   /// taken for cold: the gateway itself has just started.
   static constexpr Duration FormationTime = 5s;
--- a/Tests/LibUpstream/TestUpstreamPool.cpp
+++ b/Tests/LibUpstream/TestUpstreamPool.cpp
@@ -207,5 +207,43 @@
   EXPECT_EQ(Remote, 0);
 }
 
+struct SpilloverCase {
+  const char *Name_;
+  /// Requests that the gateway has at each instance of its own domain.
+  std::vector<int> InUse_;
+  /// Bounds of the requests of 400 that leave the domain.
+  int LeastRemote_;
+  int MostRemote_;
+};
+
+class SpilloverTest : public UpstreamPoolTest,
+                      public testing::WithParamInterface<SpilloverCase> {};
+
+// Guards against requests that cross domains while one beside them has room,
+// and against a domain that keeps what it cannot serve soon. The second
+// candidate used to come from anywhere: with one busy instance of four, one in
+// seven requests left the domain.
+TEST_P(SpilloverTest, LeavesTheDomainOnceItIsHalfFull) {
+  for (int Number = 10; Number < 14; ++Number)
+    Pool_.apply(
+        makeRecord(Number, SlotCount(4), InstanceState::Serving, "there"),
+        Now_);
+  for (std::size_t Number = 0; Number < GetParam().InUse_.size(); ++Number)
+    for (int Count = 0; Count < GetParam().InUse_[Number]; ++Count)
+      Pool_.begin(InstanceId("i" + std::to_string(Number)), Now_);
+  int Remote = 0;
+  for (int Number = 10; Number < 14; ++Number)
+    Remote += countChosen(InstanceId("i" + std::to_string(Number)));
+  EXPECT_GE(Remote, GetParam().LeastRemote_);
+  EXPECT_LE(Remote, GetParam().MostRemote_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads, SpilloverTest,
+    testing::Values(SpilloverCase{"OneIsBusy", {3, 0, 0, 0}, 0, 25},
+                    SpilloverCase{"EachHasAFewRequests", {1, 1, 1, 1}, 0, 0},
+                    SpilloverCase{"AllAreNearlyFull", {3, 3, 3, 3}, 150, 400}),
+    CaseName());
+
 } // namespace
 } // namespace jaybridge
