LibRegistry: Tell gateways the domains of the control members when they ask

Gateways hear of the members only with a whole registry, which comes before anybody knows the members' domains, so none of them ever found a nearer member.

Ruled out: the choice among seeds, which prefers near addresses, but the first member that is current answers and is followed.

Change: a subscription carries a digest of the members that the gateway knows, and the answer names them where it differs.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -181,8 +181,13 @@
     if (Asked.Revision_ > Revision_ ||
         !Subscribers_.renew(From, Asked.Revision_, Now))
       return;
-    if (Asked.Revision_ == Revision_ && Revision_ > LogIndex())
-      return send(From, RegistryCurrent{Revision_, Suspects_}, Out);
+    if (Asked.Revision_ == Revision_ && Revision_ > LogIndex()) {
+      RegistryCurrent Current{Revision_, Suspects_, {}};
+      std::vector<ControlMember> Known = members();
+      if (Asked.Members_ != digestOf(Known))
+        Current.Members_ = std::move(Known);
+      return send(From, std::move(Current), Out);
+    }
     if (!Subscribers_.takeWholeTurn(From, Now))
       return;
     RegistryUpdated Whole;
@@ -243,7 +248,7 @@
     if (!isCurrent())
       return;
     for (const auto &[Id, Each] : Subscribers_.all())
-      send(Id, RegistryCurrent{Revision_, Suspects_}, Out);
+      send(Id, RegistryCurrent{Revision_, Suspects_, {}}, Out);
   }
 
   void announceCurrent(TimePoint Now, Effects &Out) {
--- a/Libraries/LibRegistry/FleetSubscription.cpp
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -119,8 +119,8 @@
 void FleetSubscriptionState::subscribe(TimePoint Now, Effects &Out) {
   NextRenewal_ = Now + Settings_.RenewInterval_;
   if (Contact_)
-    Out.emplace_back(
-        SendSubscription{*Contact_, Subscribe{Revision_, Version_}});
+    Out.emplace_back(SendSubscription{
+        *Contact_, Subscribe{Revision_, Version_, digestOf(Members_)}});
 }
 
 bool FleetSubscriptionState::hasNearerMember(TimePoint Now) const {
@@ -203,6 +203,8 @@
   if (Said.Revision_ != Revision_)
     return resynchronize(Now, Out);
   heard(From, Now, Out);
+  if (!Said.Members_.empty())
+    Members_ = Said.Members_;
   applySuspects(Said.Suspects_, Now, Out);
 }
 
--- a/Libraries/LibRegistry/SubscriptionMessages.h
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -2,6 +2,7 @@
 
 #include <LibRegistry/RegistryCommand.h>
 
+#include <LibCore/Hash.h>
 #include <LibCore/Units.h>
 
 #include <optional>
@@ -19,6 +20,17 @@
                          const ControlMember &) = default;
 };
 
+/// Tells lists of members apart, so that only those that lack it get the list.
+using MemberListDigest = Ordinal<struct MemberListDigestTag>;
+
+inline MemberListDigest digestOf(const std::vector<ControlMember> &Members) {
+  std::uint64_t Digest = 0;
+  for (const ControlMember &Each : Members)
+    Digest =
+        stableHash(Each.Domain_.text(), stableHash(Each.Id_.text(), Digest));
+  return MemberListDigest(Digest);
+}
+
 /// Outcomes of attempts at an instance since the last report.
 struct AttemptTally {
   InstanceId Id_;
@@ -49,6 +61,8 @@
 struct Subscribe {
   LogIndex Revision_;
   ConfigurationVersion Version_;
+  /// Of the members that the gateway knows.
+  MemberListDigest Members_;
 };
 
 struct EvidenceReported {
@@ -74,6 +88,8 @@
 struct RegistryCurrent {
   LogIndex Revision_;
   std::vector<InstanceId> Suspects_;
+  /// Left out when the receiver knows them.
+  std::vector<ControlMember> Members_;
 };
 
 // Between control members.
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -173,7 +173,8 @@
   switch (tagOf(Value)) {
   case Tag::Subscribe:
     return Subscribe{LogIndex(Value.at(1).get<std::uint64_t>()),
-                     ConfigurationVersion(Value.at(2).get<std::uint64_t>())};
+                     ConfigurationVersion(Value.at(2).get<std::uint64_t>()),
+                     MemberListDigest(Value.at(3).get<std::uint64_t>())};
   case Tag::EvidenceReported:
     return EvidenceReported{readAll(Value.at(1), readEvidence)};
   case Tag::RegistryUpdated:
@@ -185,7 +186,8 @@
                            readAll(Value.at(6), readMember)};
   case Tag::RegistryCurrent:
     return RegistryCurrent{LogIndex(Value.at(1).get<std::uint64_t>()),
-                           readAll(Value.at(2), readInstanceId)};
+                           readAll(Value.at(2), readInstanceId),
+                           readAll(Value.at(3), readMember)};
   case Tag::FollowerReported:
     return FollowerReported{FailureDomain(Value.at(1).get<std::string>()),
                             readAll(Value.at(2), readEvidence)};
@@ -222,6 +224,7 @@
                        json List = tagged(Tag::Subscribe);
                        List.push_back(Each.Revision_.value());
                        List.push_back(Each.Version_.value());
+                       List.push_back(Each.Members_.value());
                        return List;
                      },
                      [](const EvidenceReported &Each) {
@@ -244,6 +247,7 @@
                        json List = tagged(Tag::RegistryCurrent);
                        List.push_back(Each.Revision_.value());
                        List.push_back(writeAll(Each.Suspects_));
+                       List.push_back(writeAll(Each.Members_));
                        return List;
                      },
                      [](const FollowerReported &Each) {
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -31,6 +31,10 @@
   return MemberId("10.9.0." + std::to_string(Index + 1) + ":7000");
 }
 
+FailureDomain RegistryFleet::domain(std::size_t Index) {
+  return FailureDomain("d" + std::to_string(Index % Domains));
+}
+
 RegistryFleet::RegistryFleet(std::size_t Members, std::size_t Gateways) {
   for (std::size_t Index = 0; Index < Members; ++Index) {
     addMember();
@@ -38,7 +42,7 @@
   }
   for (std::size_t Index = 0; Index < Gateways; ++Index) {
     FleetSubscriptionSettings Own;
-    Own.Domain_ = FailureDomain("d");
+    Own.Domain_ = domain(Index);
     Own.Self_ = Endpoint::create(gateway(Index).text()).takeValue();
     Own.Seeds_ = {member(0), member(1), member(2)};
     Gateways_.push_back(
@@ -76,7 +80,7 @@
   ASSERT_TRUE(Log) << Log.error().Message_;
   ControlSettings Own;
   Own.Self_ = member(Index);
-  Own.Domain_ = FailureDomain("d");
+  Own.Domain_ = domain(Index);
   Members_[Index].Running_ =
       std::make_unique<Control>(std::move(Own), Log.takeValue());
 }
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -35,6 +35,9 @@
 
   static MemberId member(std::size_t Index);
   static MemberId gateway(std::size_t Index);
+  /// Members and gateways are spread over the domains by their index.
+  static constexpr std::size_t Domains = 3;
+  static FailureDomain domain(std::size_t Index);
 
   void run(Duration Span);
   void stopMember(std::size_t Index);
--- a/Tests/LibRegistry/TestRegistryFleet.cpp
+++ b/Tests/LibRegistry/TestRegistryFleet.cpp
@@ -39,6 +39,26 @@
                                          SizeCase{"Eleven", 11}),
                          CaseName());
 
+// Guards against gateways that follow a member of another domain for ever: they
+// were told of the members once, before anybody knew the members' domains.
+TEST(RegistryFleetDomains, LetsEachGatewayFollowAMemberOfItsDomain) {
+  constexpr std::size_t Size = 5;
+  constexpr std::size_t Gateways = 6;
+  RegistryFleet Fleet(Size, Gateways);
+  while (Fleet.leader() == Size)
+    Fleet.run(RegistryFleet::Step);
+  Fleet.announce(Fleet.leader(), instance());
+  Fleet.run(10s);
+  for (std::size_t Index = 0; Index < Gateways; ++Index) {
+    bool IsNear = false;
+    for (std::size_t Member = 0; Member < Size; ++Member)
+      IsNear = IsNear ||
+               (Fleet.view(Index).Contact_ == RegistryFleet::member(Member) &&
+                RegistryFleet::domain(Member) == RegistryFleet::domain(Index));
+    EXPECT_TRUE(IsNear) << "gateway " << Index;
+  }
+}
+
 class RegistryFleetTest : public testing::Test {
 protected:
   void SetUp() override {
