LibRouting: Count attempts that outlast their request's deadline as timed out

Cause: the gateway refuses a request whose time is over and cancels its attempt, whose end was then reported as cancelled and said nothing of the instance.

Ruled out: load (5 orders a second for each instance, which can do 13).

Change: verdictOf judges the end of an attempt by the request's deadline; a timeout of under three mean latencies says nothing, as some routes give less time than their service needs.

--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/RequestDispatcher.h>
 
 #include <LibCore/Verify.h>
+#include <LibRouting/AttemptVerdict.h>
 
 #include <algorithm>
 
@@ -244,11 +245,14 @@
     return;
   const AttemptOutcome &Result = Ended.Outcome_;
   ServiceRouter &Router = service(Taken->Service_);
-  Router.finishAttempt(Taken->Instance_, Result, Now);
+  AttemptOutcome Judged = Result;
+  Judged.Result_ = verdictOf(Result, Now >= Taken->ExpiresAt_ - ReportGrace,
+                             Router.pool().latency().mean());
+  Router.finishAttempt(Taken->Instance_, Judged, Now);
   if (Result.Busy_)
     Router.pool().report(Taken->Instance_, *Result.Busy_, Now);
   Out.emplace_back(ObserveAttempt{Taken->Service_, Taken->Instance_,
-                                  Result.Result_, Result.Response_.Status_,
+                                  Judged.Result_, Result.Response_.Status_,
                                   Result.Elapsed_, Taken->Fingerprint_});
   Out.emplace_back(RecordStep{Taken->Request_,
                               StepKind::AttemptEnded,
@@ -365,6 +369,8 @@
 void RequestDispatcher::expireAttempt(TimePoint Now, Effects &Out) {
   AttemptOutcome Missing;
   Missing.Result_ = AttemptResult::TimedOut;
+  // It has run for longer than this.
+  Missing.Elapsed_ = ReportGrace;
   endAttempt(AttemptFinished{Attempts_.firstToExpire(), Missing}, Now, Out);
 }
 
