LibRegistry: Leave the instances alone that fail most, and go on judging the others

Cause: where more instances of a service fail in part than the floor permits to leave alone, those with the lowest ids were chosen.

Change: the worst by share of failures are left alone first; the holds of the rest are taken back with their evidence kept.

--- a/Libraries/LibRegistry/HealthBoard.cpp
+++ b/Libraries/LibRegistry/HealthBoard.cpp
@@ -26,6 +26,12 @@
   // What was under way when the instance was left alone says nothing new.
   if (Now < Known.HeldUntil_)
     return;
+  if (Known.Hold_ > Duration::zero() && !Known.IsOnTrial_) {
+    Known.IsOnTrial_ = true;
+    Known.Failures_ = 0;
+    Known.Unreachable_ = 0;
+    Known.Successes_ = 0;
+  }
   double Kept = remaining(Now - Known.AsOf_);
   Known.Failures_ = Known.Failures_ * Kept + weighted(Seen.Lost_, LostWeight) +
                     weighted(Seen.Errors_, ErrorWeight);
@@ -44,20 +50,17 @@
 }
 
 void HealthBoard::hold(Standing &Suspected, TimePoint Now) {
-  bool IsTrial = Suspected.Hold_ > Duration::zero() &&
-                 Now < Suspected.HeldUntil_ + TrialTime;
+  bool IsTrial = Suspected.IsOnTrial_ && Now < Suspected.HeldUntil_ + TrialTime;
+  Suspected.IsOnTrial_ = false;
   Suspected.Hold_ =
       IsTrial ? std::min(LongestHold, 2 * Suspected.Hold_) : FirstHold;
   Suspected.HeldSince_ = Now;
   Suspected.HeldUntil_ = Now + Suspected.Hold_;
   double Bad = Suspected.Failures_ + Suspected.Unreachable_;
-  Suspected.IsProven_ =
-      IsTrial || Bad >= ProvenFailureShare * (Bad + Suspected.Successes_);
+  Suspected.Severity_ = Bad / (Bad + Suspected.Successes_);
+  Suspected.IsProven_ = IsTrial || Suspected.Severity_ >= ProvenFailureShare;
   Suspected.IsAbsent_ =
       IsTrial && Suspected.Failures_ + Suspected.Successes_ < NothingHeard;
-  Suspected.Failures_ = 0;
-  Suspected.Unreachable_ = 0;
-  Suspected.Successes_ = 0;
 }
 
 bool HealthBoard::isSuspect(const InstanceId &Id, TimePoint Now) const {
@@ -85,6 +88,23 @@
   }
 }
 
+void HealthBoard::keepWorst(std::vector<InstanceId> &Unproven,
+                            std::size_t Permitted, TimePoint Now) {
+  if (Unproven.size() <= Permitted)
+    return;
+  std::stable_sort(Unproven.begin(), Unproven.end(),
+                   [this](const InstanceId &Left, const InstanceId &Right) {
+                     return Standings_.at(Left).Severity_ >
+                            Standings_.at(Right).Severity_;
+                   });
+  while (Unproven.size() > Permitted) {
+    Standing &InUse = Standings_.at(Unproven.back());
+    InUse.HeldUntil_ = Now;
+    InUse.Hold_ = Duration::zero();
+    Unproven.pop_back();
+  }
+}
+
 std::vector<InstanceId> HealthBoard::suspects(const ServiceRegistry &Registry,
                                               Percentage Floor, TimePoint Now) {
   std::map<ServiceName, Pool> Pools;
@@ -113,7 +133,7 @@
   for (auto &[Name, Own] : Pools) {
     releaseScarce(Own, Now);
     std::size_t Kept = (Own.Others_ * Floor.value() + 99) / 100;
-    Own.Unproven_.resize(std::min(Own.Unproven_.size(), Own.Others_ - Kept));
+    keepWorst(Own.Unproven_, Own.Others_ - Kept, Now);
     Add(Own.Absent_);
     Add(Own.Proven_);
     Add(Own.Unproven_);
--- a/Libraries/LibRegistry/HealthBoard.h
+++ b/Libraries/LibRegistry/HealthBoard.h
@@ -21,7 +21,8 @@
 ///
 /// The floor protects healthy capacity: an instance whose attempts mostly fail
 /// is none, however many such there are. On less evidence only so many are left
-/// alone that the floor stays in use among the others. An instance that cannot
+/// alone that the floor stays in use among the others, those first that fail
+/// most; the rest go on being judged. An instance that cannot
 /// be connected to any more is no part of its service: it takes nobody's place
 /// among those that are left alone.
 class HealthBoard {
@@ -69,6 +70,10 @@
     TimePoint HeldSince_{};
     TimePoint HeldUntil_{};
     Duration Hold_{};
+    /// Share of failures at the start of the hold.
+    double Severity_ = 0;
+    /// Heard of since the last hold ended.
+    bool IsOnTrial_ = false;
     bool IsProven_ = false;
     /// Nothing but connections that could not be opened, more than once.
     bool IsAbsent_ = false;
@@ -82,6 +87,10 @@
   };
 
   static void hold(Standing &Suspected, TimePoint Now);
+  /// Leaves as many alone as are permitted and takes the holds of the others
+  /// back.
+  void keepWorst(std::vector<InstanceId> &Unproven, std::size_t Permitted,
+                 TimePoint Now);
   /// Ends the oldest holds of a service that lacks instances.
   void releaseScarce(Pool &Own, TimePoint Now);
 
--- a/Tests/LibRegistry/TestHealthBoard.cpp
+++ b/Tests/LibRegistry/TestHealthBoard.cpp
@@ -159,6 +159,32 @@
   EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 3U);
 }
 
+// Guards against instances that fail more than others and stay in use because
+// of their names, and against evidence that is dropped while they do:
+// teranga-roulements trouble-3 lost 30 of 160 orders to one of them.
+TEST(HealthBoardTest, LeavesTheWorstAloneFirst) {
+  HealthBoard Board;
+  ServiceRegistry Registry = poolOf(10);
+  TimePoint Now{};
+  auto Record = [&](const std::string &Id, int Successes, int Losses) {
+    for (int Count = 0; Count < Successes; ++Count)
+      Board.record(tally(Id, Good), Now);
+    for (int Count = 0; Count < Losses; ++Count)
+      Board.record(tally(Id, Lost), Now);
+  };
+  for (const char *Id : {"i0", "i1", "i2", "i3"})
+    Record(Id, 8, 1);
+  Record("i9", 3, 1);
+  std::vector<InstanceId> First = Board.suspects(Registry, Percentage(70), Now);
+  EXPECT_EQ(First, (std::vector{InstanceId("i0"), InstanceId("i1"),
+                                InstanceId("i9")}));
+  // It has stayed in use, and what it does since counts.
+  Record("i3", 0, 3);
+  std::vector<InstanceId> Second =
+      Board.suspects(Registry, Percentage(70), Now);
+  EXPECT_TRUE(std::count(Second.begin(), Second.end(), InstanceId("i3")));
+}
+
 // Guards against a service that goes without recovered instances while it
 // lacks capacity.
 TEST(HealthBoardTest, TriesTheOldestSoonerWhereInstancesAreScarce) {
