LibRegistry: Leave instances alone for 5 s at first where a service has others

Change: the first hold is 5 s; where more than an eighth of a service is left alone, the oldest holds end after 2 s.

--- a/Libraries/LibRegistry/HealthBoard.cpp
+++ b/Libraries/LibRegistry/HealthBoard.cpp
@@ -80,7 +80,7 @@
                    });
   while (Own.Proven_.size() > Permitted) {
     Standing &Oldest = Standings_.at(Own.Proven_.back());
-    if (Now < Oldest.HeldSince_ + FirstHold)
+    if (Now < Oldest.HeldSince_ + ScarceHold)
       return;
     Oldest.HeldUntil_ = Now;
     Own.Proven_.pop_back();
--- a/Libraries/LibRegistry/HealthBoard.h
+++ b/Libraries/LibRegistry/HealthBoard.h
@@ -45,10 +45,14 @@
   static constexpr double LeastUnreachableShare = 0.25;
   /// From this share of failures on an instance is no healthy capacity.
   static constexpr double ProvenFailureShare = 0.5;
-  static constexpr Duration FirstHold = 2s;
+  /// Gray failures last several seconds.
+  static constexpr Duration FirstHold = 5s;
+  /// Where much of a service is left alone, and for as long as one instance
+  /// must be given to be sound again.
+  static constexpr Duration ScarceHold = 2s;
   static constexpr Duration LongestHold = 12s;
   /// More than this share of a service left alone is much.
-  static constexpr double ScarceShare = 0.25;
+  static constexpr double ScarceShare = 0.125;
   /// A failure so long after the end of a hold starts anew.
   static constexpr Duration TrialTime = 2500ms;
 
