jaybridged: Name steps and derive seeds in one place

The names of a request's steps stood in GatewayDaemon.cpp and TraceJson.cpp, the numbers of a start in three daemons.

--- a/Libraries/LibOperator/TraceJson.cpp
+++ b/Libraries/LibOperator/TraceJson.cpp
@@ -1,5 +1,7 @@
 #include <LibOperator/TraceJson.h>
 
+#include <LibRouting/StepName.h>
+
 #include <nlohmann/json.hpp>
 
 namespace jaybridge {
@@ -8,32 +10,6 @@
 
 using Json = nlohmann::json;
 
-const char *stepName(StepKind Kind) {
-  switch (Kind) {
-  case StepKind::Received:
-    return "received";
-  case StepKind::Queued:
-    return "queued";
-  case StepKind::Claimed:
-    return "claimed";
-  case StepKind::Dispatched:
-    return "dispatched";
-  case StepKind::AttemptEnded:
-    return "attempt-ended";
-  case StepKind::Retried:
-    return "retried";
-  case StepKind::Hedged:
-    return "hedged";
-  case StepKind::Forwarded:
-    return "forwarded";
-  case StepKind::Answered:
-    return "answered";
-  case StepKind::Refused:
-    return "refused";
-  }
-  return "received";
-}
-
 Json stepJson(const TimedStep &Timed, TimePoint First) {
   const RecordStep &Step = Timed.Step_;
   Json Fields = {{"at_us", (Timed.At_ - First).count()},
--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -1,6 +1,5 @@
 #include <ControlDaemon.h>
-
-#include <LibCore/Hash.h>
+#include <ProcessStart.h>
 
 #include <algorithm>
 
@@ -16,15 +15,6 @@
 constexpr Duration LogHeartbeat = 200ms;
 constexpr Duration LogElectionTimeout = 800ms;
 
-std::uint64_t startNumber() {
-  return static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
-}
-
-RandomSeed seedOf(const Settings &Given, std::uint64_t Purpose) {
-  return RandomSeed(
-      stableHash(Given.Member_.text(), startNumber() * 31 + Purpose));
-}
-
 ReplicationSettings replicationOf(const Settings &Given) {
   ReplicationSettings Own;
   Own.Self_ = RegistryPeers::memberIdOf(Given.PeerAddress_);
--- a/Services/jaybridged/Daemon.cpp
+++ b/Services/jaybridged/Daemon.cpp
@@ -1,6 +1,5 @@
 #include <Daemon.h>
-
-#include <LibCore/Hash.h>
+#include <ProcessStart.h>
 
 namespace jaybridge {
 
@@ -10,16 +9,6 @@
 /// How long the fleet is told that this daemon leaves.
 constexpr auto LeaveLimit = std::chrono::seconds(3);
 
-std::uint64_t startNumber() {
-  return static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
-}
-
-/// Differs between daemons and between runs of one daemon.
-RandomSeed seedOf(const Settings &Given, std::uint64_t Purpose) {
-  return RandomSeed(
-      stableHash(Given.Member_.text(), startNumber() * 31 + Purpose));
-}
-
 Result<LedgerService> createLedger(const Settings &Given) {
   LedgerClaimsSettings Claims;
   Claims.Self_ = Given.Member_;
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -1,6 +1,7 @@
 #include <GatewayDaemon.h>
+#include <ProcessStart.h>
 
-#include <LibCore/Hash.h>
+#include <LibRouting/StepName.h>
 #include <Platform/ControlApi.h>
 #include <Platform/HeaderNames.h>
 
@@ -23,15 +24,6 @@
 /// is sent again after about 200 ms.
 constexpr Duration ConnectLimit = 400ms;
 
-std::uint64_t startNumber() {
-  return static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
-}
-
-RandomSeed seedOf(const Settings &Given, std::uint64_t Purpose) {
-  return RandomSeed(
-      stableHash(Given.Member_.text(), startNumber() * 31 + Purpose));
-}
-
 FleetSubscriptionSettings subscriptionOf(const Settings &Given) {
   FleetSubscriptionSettings Own;
   Own.Domain_ = Given.Domain_;
@@ -40,32 +32,6 @@
   return Own;
 }
 
-const char *stepName(StepKind Kind) {
-  switch (Kind) {
-  case StepKind::Received:
-    return "received";
-  case StepKind::Queued:
-    return "queued";
-  case StepKind::Claimed:
-    return "claimed";
-  case StepKind::Dispatched:
-    return "dispatched";
-  case StepKind::AttemptEnded:
-    return "attempt-ended";
-  case StepKind::Retried:
-    return "retried";
-  case StepKind::Hedged:
-    return "hedged";
-  case StepKind::Forwarded:
-    return "forwarded";
-  case StepKind::Answered:
-    return "answered";
-  case StepKind::Refused:
-    return "refused";
-  }
-  return "unknown";
-}
-
 const char *stateName(InstanceState State) {
   switch (State) {
   case InstanceState::Serving:
