LibRegistry: Replace the retries that gateways spend from a pool of the fleet

Cause: each gateway held one retry of a service and earned another with seven requests, 14 s at these rates.

Change: a gateway tells its control member what it spent with the evidence that it reports at once, and the member replaces it from its part of a pool that earns 16% of all reported outcomes and holds at most 12 for the fleet. Without a member a gateway has what it holds. The domains of control members moved out of ControlService.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -3,6 +3,8 @@
 #include <LibRegistry/ControlMessages.h>
 #include <LibRegistry/ControlSettings.h>
 #include <LibRegistry/HealthBoard.h>
+#include <LibRegistry/MemberDomains.h>
+#include <LibRegistry/RetryPool.h>
 #include <LibRegistry/ServiceRegistry.h>
 #include <LibRegistry/SubscriberTable.h>
 #include <LibRegistry/VoterPolicy.h>
@@ -80,7 +82,8 @@
   // Instances and operators.
   void on(const InstanceAnnouncedItself &Said, TimePoint Now, Effects &Out) {
     if (isCurrent() && !Registry_.isNews(Said.Record_))
-      return answer(Said.Query_, Acknowledged{nearbyMember(Said.Record_)}, Out);
+      return answer(Said.Query_,
+                    Acknowledged{nearbyMember(members(), Said.Record_)}, Out);
     change(Said.Query_, StoreInstance{Said.Record_}, Now, Out);
   }
   void on(const InstanceSaidGoodbye &Said, TimePoint Now, Effects &Out) {
@@ -160,10 +163,11 @@
                      subscribe(Received.From_, Asked, Now, Out);
                    },
                    [&](const EvidenceReported &Report) {
+                     replaceRetries(Received.From_, Report, Out);
                      take(Report.Instances_, Now, Out);
                    },
                    [&](const FollowerReported &Report) {
-                     Members_[Received.From_] = Report.Domain_;
+                     Domains_.learn({Received.From_, Report.Domain_});
                      take(Report.Instances_, Now, Out);
                    },
                    [&](const LeaderJudged &Judged) {
@@ -214,6 +218,21 @@
       subscribe(From, Each, Now, Out);
   }
 
+  void replaceRetries(const MemberId &From, const EvidenceReported &Report,
+                      Effects &Out) {
+    const std::size_t Members = Log_.members().Voters_.size();
+    for (const AttemptTally &Each : Report.Instances_)
+      if (const InstanceRecord *Known = Registry_.find(Each.Id_))
+        Retries_.deposit(Known->Service_, Each.total(), Members);
+    RetriesReplaced Replaced;
+    for (const RetryCount &Each : Report.Spent_)
+      if (EventCount Granted = Retries_.withdraw(Each.Service_, Each.Retries_);
+          Granted > EventCount(0))
+        Replaced.Granted_.push_back(RetryCount{Each.Service_, Granted});
+    if (!Replaced.Granted_.empty())
+      send(From, std::move(Replaced), Out);
+  }
+
   void take(const std::vector<AttemptTally> &Seen, TimePoint Now,
             Effects &Out) {
     bool HasFailure = false;
@@ -231,7 +250,7 @@
   void follow(const LeaderJudged &Judged, TimePoint Now, Effects &Out) {
     JudgedAt_ = Now;
     for (const ControlMember &Each : Judged.Members_)
-      Members_[Each.Id_] = Each.Domain_;
+      Domains_.learn(Each);
     setSuspects(Judged.Suspects_, Now, Out);
   }
 
@@ -312,29 +331,8 @@
         send(Each.Id_, LeaderJudged{Suspects_, members()}, Out);
   }
 
-  /// Announcements that change nothing stay within the failure domain. The
-  /// members of a domain share its instances.
-  std::optional<MemberId> nearbyMember(const InstanceRecord &Said) const {
-    std::vector<MemberId> Near;
-    for (const ControlMember &Each : members())
-      if (Each.Domain_ == Said.Domain_)
-        Near.push_back(Each.Id_);
-    if (Near.empty())
-      return std::nullopt;
-    return Near[stableHash(Said.Id_.text(), 0) % Near.size()];
-  }
-
   std::vector<ControlMember> members() const {
-    std::vector<ControlMember> Known;
-    for (const Voter &Each : Log_.members().Voters_) {
-      auto Found = Members_.find(Each.Id_);
-      bool IsOwn = Each.Id_ == Settings_.Self_;
-      Known.push_back(ControlMember{
-          Each.Id_,
-          IsOwn ? Settings_.Domain_
-                : (Found == Members_.end() ? FailureDomain() : Found->second)});
-    }
-    return Known;
+    return Domains_.list(Log_.members(), {Settings_.Self_, Settings_.Domain_});
   }
 
   /// Applies the log's effects; each may cause further ones.
@@ -474,7 +472,8 @@
   HealthBoard Board_;
   std::vector<InstanceId> Suspects_;
   TimePoint JudgedAt_{};
-  std::map<MemberId, FailureDomain> Members_;
+  MemberDomains Domains_;
+  RetryPool Retries_;
   std::map<InstanceId, AttemptTally> Unreported_;
   std::map<ProposalId, PendingChange> Changes_;
   /// The newest document in the log, committed or not.
--- a/Libraries/LibRegistry/FleetSubscription.cpp
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -237,12 +237,36 @@
   ReportAt_ = ReportAt_ ? std::min(*ReportAt_, Due) : Due;
 }
 
+void FleetSubscriptionState::spend(const RetrySpent &Spent, TimePoint Now) {
+  Spent_[Spent.Service_] += EventCount(1);
+  TimePoint Due = Now + Settings_.FailureDelay_;
+  ReportAt_ = ReportAt_ ? std::min(*ReportAt_, Due) : Due;
+}
+
+void FleetSubscriptionState::replace(const RetriesReplaced &Replaced,
+                                     Effects &Out) {
+  for (const RetryCount &Each : Replaced.Granted_) {
+    auto Known = Spent_.find(Each.Service_);
+    if (Known == Spent_.end())
+      continue;
+    EventCount Granted = std::min(Known->second, Each.Retries_);
+    Known->second -= Granted;
+    if (Known->second == EventCount(0))
+      Spent_.erase(Known);
+    Out.emplace_back(RetriesGranted{Each.Service_, Granted});
+  }
+}
+
 void FleetSubscriptionState::reportEvidence(Effects &Out) {
   ReportAt_.reset();
   EvidenceReported Report;
   for (auto &[Id, Sum] : Evidence_)
     Report.Instances_.push_back(std::move(Sum));
   Evidence_.clear();
+  // Repeated until they are replaced: the pool may be empty, or another member
+  // may be followed.
+  for (const auto &[Name, Count] : Spent_)
+    Report.Spent_.push_back(RetryCount{Name, Count});
   if (Contact_ && IsConfirmed_)
     Out.emplace_back(SendSubscription{*Contact_, std::move(Report)});
 }
--- a/Libraries/LibRegistry/FleetSubscription.h
+++ b/Libraries/LibRegistry/FleetSubscription.h
@@ -39,10 +39,10 @@
 };
 
 using FleetSubscriptionEvent =
-    std::variant<SubscriptionReceived, ObserveAttempt>;
+    std::variant<SubscriptionReceived, ObserveAttempt, RetrySpent>;
 using FleetSubscriptionEffect =
     std::variant<SendSubscription, RoutingChanged, InstanceChanged,
-                 EjectionsChanged, ContactChanged>;
+                 EjectionsChanged, RetriesGranted, ContactChanged>;
 
 /// Reads the text of a configuration into the routing table that it states.
 template <typename Reader>
@@ -61,6 +61,9 @@
   void advance(TimePoint Now, Effects &Out);
   std::optional<TimePoint> nextDeadline() const;
   void observe(const ObserveAttempt &Seen, TimePoint Now);
+  /// Asks for a replacement with the next report.
+  void spend(const RetrySpent &Spent, TimePoint Now);
+  void replace(const RetriesReplaced &Replaced, Effects &Out);
 
   /// True when the update continues what is known and is to be applied.
   bool accepts(const MemberId &From, const RegistryUpdated &Update,
@@ -102,6 +105,7 @@
   std::map<InstanceId, InstanceRecord> Instances_;
   std::map<ServiceName, std::vector<InstanceId>> Suspects_;
   std::map<InstanceId, AttemptTally> Evidence_;
+  std::map<ServiceName, EventCount> Spent_;
   std::optional<TimePoint> ReportAt_;
 };
 
@@ -128,6 +132,9 @@
   void on(const ObserveAttempt &Seen, TimePoint Now, Effects &) {
     State_.observe(Seen, Now);
   }
+  void on(const RetrySpent &Spent, TimePoint Now, Effects &) {
+    State_.spend(Spent, Now);
+  }
   void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out) {
     if (const auto *Update = std::get_if<RegistryUpdated>(&Received.Message_)) {
       if (!State_.accepts(Received.From_, *Update, Now, Out))
@@ -141,6 +148,9 @@
     } else if (const auto *Current =
                    std::get_if<RegistryCurrent>(&Received.Message_)) {
       State_.confirm(Received.From_, *Current, Now, Out);
+    } else if (const auto *Replaced =
+                   std::get_if<RetriesReplaced>(&Received.Message_)) {
+      State_.replace(*Replaced, Out);
     }
   }
   void adopt(const StoredDocument &Stored, Effects &Out) {
--- a/Libraries/LibRegistry/SubscriptionMessages.h
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -49,6 +49,9 @@
     Successes_ += Other.Successes_;
     return *this;
   }
+  EventCount total() const {
+    return Lost_ + Errors_ + Unreachable_ + Successes_;
+  }
   bool hasFailure() const {
     return Lost_ + Errors_ + Unreachable_ > EventCount(0);
   }
@@ -65,8 +68,16 @@
   MemberListDigest Members_;
 };
 
+/// Retries of a service, spent or granted.
+struct RetryCount {
+  ServiceName Service_;
+  EventCount Retries_;
+};
+
 struct EvidenceReported {
   std::vector<AttemptTally> Instances_;
+  /// Spent and not replaced yet.
+  std::vector<RetryCount> Spent_;
 };
 
 // From a control member to a gateway.
@@ -92,6 +103,11 @@
   std::vector<ControlMember> Members_;
 };
 
+/// Replaces retries that the gateway has spent.
+struct RetriesReplaced {
+  std::vector<RetryCount> Granted_;
+};
+
 // Between control members.
 
 /// A follower's part of what the leader judges by.
@@ -108,7 +124,7 @@
 
 using SubscriptionMessage =
     std::variant<Subscribe, EvidenceReported, RegistryUpdated, RegistryCurrent,
-                 FollowerReported, LeaderJudged>;
+                 FollowerReported, LeaderJudged, RetriesReplaced>;
 
 /// A message of another daemon.
 struct SubscriptionReceived {
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -58,6 +58,9 @@
   void on(const ClaimDecided &Incoming, TimePoint Now, Effects &Out);
   void on(const HomesChanged &Incoming, TimePoint Now, Effects &Out);
   void on(const ForwardAnswered &Incoming, TimePoint Now, Effects &Out);
+  void on(const RetriesGranted &Incoming, TimePoint, Effects &) {
+    Requests_.grantRetries(Incoming);
+  }
   void on(const DrainStarted &Incoming, TimePoint Now, Effects &Out);
 
   /// Opens a request whose service and rules are known.
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -92,13 +92,19 @@
   Answer Answer_;
 };
 
+/// Retries of a service that the fleet lets this gateway make beside its own.
+struct RetriesGranted {
+  ServiceName Service_;
+  EventCount Retries_;
+};
+
 struct DrainStarted {};
 
 using GatewayEvent =
     std::variant<RequestReceived, CallerGone, AttemptFinished, CatalogChanged,
                  RoutingChanged, InstanceChanged, LoadReported,
                  EjectionsChanged, FingerprintsQuarantined, ClaimDecided,
-                 HomesChanged, ForwardAnswered, DrainStarted>;
+                 HomesChanged, ForwardAnswered, RetriesGranted, DrainStarted>;
 
 // Effects.
 
@@ -148,6 +154,11 @@
   Fingerprint Fingerprint_;
 };
 
+/// A retry was taken from the budget of a service.
+struct RetrySpent {
+  ServiceName Service_;
+};
+
 struct ForwardRequest {
   MemberId Home_;
   std::shared_ptr<const Request> Request_;
@@ -186,6 +197,6 @@
 using GatewayEffect =
     std::variant<SendAttempt, CancelAttempt, AnswerCaller, ClaimKey, ReleaseKey,
                  FinishKey, ObserveAttempt, ForwardRequest, CancelForward,
-                 RecordStep>;
+                 RecordStep, RetrySpent>;
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -282,13 +282,15 @@
     return close(Running, answerOf(Running, Ended), Now, Out);
   if (HasLive)
     return;
+  const ServiceName &Name = Running.request().Service_;
   bool IsInTime = Now < Running.deadline();
   // Without a connection the service got nothing that a budget protects it
   // from.
   bool IsFree = Ended.Result_ == AttemptResult::ConnectFailed;
   if (IsInTime && Running.canDispatch() &&
-      (IsFree ||
-       service(Running.request().Service_).budget().withdrawRetry())) {
+      (IsFree || service(Name).budget().withdrawRetry())) {
+    if (!IsFree)
+      Out.emplace_back(RetrySpent{Name});
     recordStep(Running, StepKind::Retried, resultName(Ended.Result_), Out);
     return place(Running, Now, Out);
   }
--- a/Libraries/LibRouting/RequestDispatcher.h
+++ b/Libraries/LibRouting/RequestDispatcher.h
@@ -28,6 +28,9 @@
   /// Replaces the policies of all services.
   void configure(const CatalogChanged &Newer);
   ConfigurationVersion version() const { return Version_; }
+  void grantRetries(const RetriesGranted &Granted) {
+    service(Granted.Service_).budget().refill(Granted.Retries_);
+  }
   void quarantine(const std::vector<Fingerprint> &Fingerprints);
 
   RequestExecution *find(const RequestId &Id);
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -20,10 +20,17 @@
 void RetryBudget::setShare(Percentage Share) { Share_ = Share; }
 
 void RetryBudget::depositFirstAttempt() {
+  if (Bounds_.IsPooled_)
+    return;
   Balance_ = std::min(inHundredths(Bounds_.Greatest_),
                       Balance_ + EventCount(Share_.value()));
 }
 
+void RetryBudget::refill(EventCount Retries) {
+  Balance_ = std::min(inHundredths(Bounds_.Greatest_),
+                      Balance_ + inHundredths(Retries));
+}
+
 bool RetryBudget::withdrawRetry() { return withdraw(EventCount(0)); }
 
 bool RetryBudget::withdrawHedge() {
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -9,6 +9,8 @@
   EventCount Reserve_{10};
   /// Unused share is kept up to this many retries.
   EventCount Greatest_{100};
+  /// Spent retries are replaced by the fleet instead of by first attempts.
+  bool IsPooled_ = false;
 };
 
 /// Bounds retries and hedges of a service to a share of its first attempts and
@@ -21,6 +23,8 @@
   /// A share of 0 permits none. The balance stays within the bounds.
   void setShare(Percentage Share);
   void depositFirstAttempt();
+  /// Adds retries that the fleet grants.
+  void refill(EventCount Retries);
   /// Takes one retry; false when none is left.
   bool withdrawRetry();
   /// Takes one hedge; false when only the reserve is left. A hedge saves time,
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -23,6 +23,7 @@
   StoreInstance,
   RemoveInstance,
   DocumentDelta,
+  RetriesReplaced,
 };
 
 std::string bytesOf(const json &Value) {
@@ -90,6 +91,14 @@
           Count(3), Count(4)};
 }
 
+json write(const RetryCount &Counted) {
+  return json::array({Counted.Service_.text(), Counted.Retries_.value()});
+}
+RetryCount readRetries(const json &Value) {
+  return {ServiceName(Value.at(0).get<std::string>()),
+          EventCount(Value.at(1).get<std::uint64_t>())};
+}
+
 json write(const ControlMember &Member) {
   return json::array({Member.Id_.text(), Member.Domain_.text()});
 }
@@ -194,7 +203,10 @@
                      ConfigurationVersion(Value.at(2).get<std::uint64_t>()),
                      MemberListDigest(Value.at(3).get<std::uint64_t>())};
   case Tag::EvidenceReported:
-    return EvidenceReported{readAll(Value.at(1), readEvidence)};
+    return EvidenceReported{readAll(Value.at(1), readEvidence),
+                            readAll(Value.at(2), readRetries)};
+  case Tag::RetriesReplaced:
+    return RetriesReplaced{readAll(Value.at(1), readRetries)};
   case Tag::RegistryUpdated:
     return RegistryUpdated{readIndex(Value.at(1)),
                            LogIndex(Value.at(2).get<std::uint64_t>()),
@@ -248,6 +260,12 @@
                      [](const EvidenceReported &Each) {
                        json List = tagged(Tag::EvidenceReported);
                        List.push_back(writeAll(Each.Instances_));
+                       List.push_back(writeAll(Each.Spent_));
+                       return List;
+                     },
+                     [](const RetriesReplaced &Each) {
+                       json List = tagged(Tag::RetriesReplaced);
+                       List.push_back(writeAll(Each.Granted_));
                        return List;
                      },
                      [](const RegistryUpdated &Each) {
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -17,9 +17,9 @@
 constexpr Duration LateRequestTime = 500ms;
 /// Kept back from the grace period for ending the process.
 constexpr Duration ExitTime = 300ms;
-/// Each gateway may start this many retries that no first attempt has paid
-/// for; the fleet has as many times more.
-constexpr EventCount RetryReserve(1);
+/// Retries of a service that each gateway holds; the fleet replaces those that
+/// it spends.
+constexpr EventCount RetriesHeld(1);
 /// Connections within a region open within a few milliseconds; one lost packet
 /// is sent again after about 200 ms.
 constexpr Duration ConnectLimit = 400ms;
@@ -98,7 +98,7 @@
   Path.Gateway_.Self_ = Given.Member_;
   Path.Gateway_.Domain_ = Given.Domain_;
   Path.Gateway_.QueueCapacity_ = EventCount(Given.QueueLimit_.value());
-  Path.Gateway_.RetryBounds_ = {RetryReserve, RetryReserve};
+  Path.Gateway_.RetryBounds_ = {RetriesHeld, RetriesHeld, true};
   Path.Seed_ = seedOf(Given, 2);
   JAYBRIDGE_TRY(Requests_, RequestPath::create(Path, outlets()));
   std::vector<ControlRoute> Routes =
@@ -135,6 +135,10 @@
   Outlets.CancelForward_ = [](const CancelForward &) {};
   Outlets.AnswerForward_ = [](const MemberId &, const AnswerCaller &) {};
   Outlets.Observe_ = [this](ObserveAttempt Seen) { observe(std::move(Seen)); };
+  Outlets.RetrySpent_ = [this](RetrySpent Spent) {
+    if (!Following_.ring().tryPush(FleetSubscriptionEvent(std::move(Spent))))
+      RingsFull_.add();
+  };
   Outlets.Record_ = [this](const RecordStep &Step) { record(Step); };
   Outlets.Received_ = [this](const Request &Received) {
     Log_.write(LogLevel::Info, "request",
@@ -205,6 +209,10 @@
   Requests_->post(std::move(Changed));
 }
 
+void GatewayDaemon::apply(RetriesGranted &Granted) {
+  Requests_->post(std::move(Granted));
+}
+
 void GatewayDaemon::apply(const ContactChanged &Changed) {
   Log_.writeChange(LogLevel::Info, "control-member",
                    Changed.Member_ ? Changed.Member_->text() : "none");
--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -43,6 +43,7 @@
   void apply(RoutingChanged &Changed);
   void apply(InstanceChanged &Changed);
   void apply(EjectionsChanged &Changed);
+  void apply(RetriesGranted &Granted);
   void apply(const ContactChanged &Changed);
   void record(const RecordStep &Step);
   void observe(ObserveAttempt Seen);
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -136,6 +136,12 @@
   return std::nullopt;
 }
 
+std::optional<GatewayEvent> RequestPath::deliver(RetrySpent &Effect) {
+  if (Outlets_.RetrySpent_)
+    Outlets_.RetrySpent_(std::move(Effect));
+  return std::nullopt;
+}
+
 std::optional<GatewayEvent> RequestPath::deliver(ForwardRequest &Effect) {
   RequestId Id = Effect.Request_->Id_;
   if (Outlets_.Forward_(std::move(Effect)))
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -25,6 +25,8 @@
   std::function<bool(ReleaseKey)> Release_;
   std::function<bool(FinishKey)> Finish_;
   std::function<void(ObserveAttempt)> Observe_;
+  /// May be empty.
+  std::function<void(RetrySpent)> RetrySpent_;
   std::function<bool(ForwardRequest)> Forward_;
   std::function<void(CancelForward)> CancelForward_;
   /// Answer to a request that another daemon forwarded to this one.
@@ -90,6 +92,7 @@
   std::optional<GatewayEvent> deliver(ReleaseKey &Effect);
   std::optional<GatewayEvent> deliver(FinishKey &Effect);
   std::optional<GatewayEvent> deliver(ObserveAttempt &Effect);
+  std::optional<GatewayEvent> deliver(RetrySpent &Effect);
   std::optional<GatewayEvent> deliver(ForwardRequest &Effect);
   std::optional<GatewayEvent> deliver(CancelForward &Effect);
   std::optional<GatewayEvent> deliver(RecordStep &Effect);
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -132,24 +132,37 @@
     if (member(Index) != Arrived.To_ || !Members_[Index].Running_)
       continue;
     if (const auto *Body = std::get_if<ReplicationMessage>(&Arrived.Body_))
-      handle(Index, *Body);
+      handle(Index, ControlEvent(*Body));
     else
       handle(Index,
-             SubscriptionReceived{
-                 Arrived.From_, std::get<SubscriptionMessage>(Arrived.Body_)});
+             ControlEvent(SubscriptionReceived{
+                 Arrived.From_, std::get<SubscriptionMessage>(Arrived.Body_)}));
   }
   for (std::size_t Index = 0; Index < Gateways_.size(); ++Index) {
     if (gateway(Index) != Arrived.To_)
       continue;
-    std::vector<FleetSubscriptionEffect> Effects;
-    Gateways_[Index]->handle(
-        SubscriptionReceived{Arrived.From_,
-                             std::get<SubscriptionMessage>(Arrived.Body_)},
-        Now_, Effects);
-    deliver(Index, std::move(Effects));
+    handle(Index,
+           FleetSubscriptionEvent(SubscriptionReceived{
+               Arrived.From_, std::get<SubscriptionMessage>(Arrived.Body_)}));
   }
 }
 
+void RegistryFleet::handle(std::size_t Index,
+                           const FleetSubscriptionEvent &Event) {
+  std::vector<FleetSubscriptionEffect> Effects;
+  Gateways_[Index]->handle(Event, Now_, Effects);
+  deliver(Index, std::move(Effects));
+}
+
+void RegistryFleet::observe(std::size_t Gateway, const ObserveAttempt &Seen) {
+  handle(Gateway, FleetSubscriptionEvent(Seen));
+}
+
+void RegistryFleet::spendRetry(std::size_t Gateway,
+                               const ServiceName &Service) {
+  handle(Gateway, FleetSubscriptionEvent(RetrySpent{Service}));
+}
+
 void RegistryFleet::handle(std::size_t Index, const ControlEvent &Event) {
   std::vector<ControlEffect> Effects;
   Members_[Index].Running_->handle(Event, Now_, Effects);
@@ -215,6 +228,9 @@
               Seen.Instances_[Changed.Record_.Id_] = Changed.Record_.State_;
             },
             [&](ContactChanged &Changed) { Seen.Contact_ = Changed.Member_; },
+            [&](RetriesGranted &Granted) {
+              Seen.RetriesGranted_ += Granted.Retries_;
+            },
             [](auto &) {},
         },
         Each);
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -58,6 +58,10 @@
     return Found && std::holds_alternative<Body>(*Found);
   }
 
+  /// The end of an attempt at a gateway.
+  void observe(std::size_t Gateway, const ObserveAttempt &Seen);
+  void spendRetry(std::size_t Gateway, const ServiceName &Service);
+
   /// The member that leads; the number of members when there is none.
   std::size_t leader() const;
   const Control *control(std::size_t Index) const {
@@ -69,6 +73,7 @@
     ConfigurationVersion Version_;
     std::map<InstanceId, InstanceState> Instances_;
     std::optional<MemberId> Contact_;
+    EventCount RetriesGranted_;
   };
   const View &view(std::size_t Index) const { return Views_[Index]; }
 
@@ -86,6 +91,7 @@
   };
 
   void handle(std::size_t Index, const ControlEvent &Event);
+  void handle(std::size_t Index, const FleetSubscriptionEvent &Event);
   void deliver(std::size_t Index, std::vector<ControlEffect> Effects);
   void deliver(std::size_t Index, std::vector<FleetSubscriptionEffect> Effects);
   void receive(const Message &Arrived);
--- a/Tests/LibRegistry/TestHealthBoard.cpp
+++ b/Tests/LibRegistry/TestHealthBoard.cpp
@@ -129,7 +129,7 @@
 // tickets to three gray instances of nine beside three dead ones.
 TEST(HealthBoardTest, CountsAbsentInstancesForNothing) {
   HealthBoard Board;
-  ServiceRegistry Registry = poolOf(12);
+  ServiceRegistry Registry = poolOf(20);
   TimePoint Now{};
   auto Fail = [&](const char *Id, Seen What, int Times) {
     for (int Time = 0; Time < Times; ++Time)
@@ -142,7 +142,7 @@
       Fail(Gray, Lost, 1);
     Now += HealthBoard::FirstHold;
   }
-  // Two of nine are not too many to be left alone longer.
+  // Two of seventeen are not too many to be left alone longer.
   EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 5U);
 }
 
@@ -189,7 +189,7 @@
 // lacks capacity.
 TEST(HealthBoardTest, TriesTheOldestSoonerWhereInstancesAreScarce) {
   HealthBoard Board;
-  ServiceRegistry Registry = poolOf(4);
+  ServiceRegistry Registry = poolOf(8);
   TimePoint Now{};
   for (int Trial = 0; Trial < 2; ++Trial) {
     for (int Index = 0; Index < 3; ++Index)
@@ -197,7 +197,7 @@
     EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 3U);
     Now += HealthBoard::FirstHold;
   }
-  // Their second holds last longer, but only one of four may go on.
+  // Their second holds last longer, but only one of eight may go on.
   EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 1U);
 }
 
--- /dev/null
+++ b/Tests/LibRegistry/TestRetryPool.cpp
@@ -0,0 +1,76 @@
+#include "RegistryFleet.h"
+
+#include <LibRegistry/RetryPool.h>
+#include <Support/CaseName.h>
+
+namespace jaybridge {
+namespace {
+
+const ServiceName Service("s");
+
+struct PoolCase {
+  const char *Name_;
+  std::size_t Members_;
+  std::uint64_t Outcomes_;
+  std::uint64_t Wanted_;
+  std::uint64_t Granted_;
+};
+
+class RetryPoolTest : public testing::TestWithParam<PoolCase> {};
+
+// Guards against pools that together exceed the fleet's bound, and against
+// retries that no request has paid for.
+TEST_P(RetryPoolTest, GrantsAShareOfTheOutcomesWithinItsPart) {
+  RetryPool Pool;
+  Pool.deposit(Service, EventCount(GetParam().Outcomes_), GetParam().Members_);
+  EXPECT_EQ(Pool.withdraw(Service, EventCount(GetParam().Wanted_)).value(),
+            GetParam().Granted_);
+  EXPECT_EQ(Pool.withdraw(ServiceName("other"), EventCount(1)).value(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Deposits, RetryPoolTest,
+    testing::Values(PoolCase{"Nothing", 1, 0, 5, 0},
+                    PoolCase{"TooFewForOne", 1, 6, 5, 0},
+                    PoolCase{"AShare", 1, 50, 20, 8},
+                    PoolCase{"NoMoreThanWanted", 1, 50, 3, 3},
+                    PoolCase{"FullOfOne", 1, 100000, 100, 12},
+                    PoolCase{"PartOfFive", 5, 100000, 100, 2}),
+    CaseName());
+
+// Guards against gateways that are left without a retry where requests fail
+// while others keep theirs, and against more retries than the fleet may make.
+TEST(RetryPoolFleetTest, ReplacesWhatIsSpentWithinTheFleetsBound) {
+  RegistryFleet Fleet(3, 4);
+  while (Fleet.leader() == 3)
+    Fleet.run(RegistryFleet::Step);
+  InstanceRecord Instance{InstanceId("i"),
+                          Service,
+                          Endpoint::create("10.5.0.1:80").takeValue(),
+                          FailureDomain("d0"),
+                          SlotCount(4),
+                          InstanceState::Serving,
+                          Incarnation(5)};
+  Fleet.announce(Fleet.leader(), Instance);
+  Fleet.run(8s);
+  ObserveAttempt Answered;
+  Answered.Service_ = Service;
+  Answered.Instance_ = Instance.Id_;
+  Answered.Status_ = StatusCode(200);
+  constexpr int Requests = 100;
+  for (int Number = 0; Number < Requests; ++Number)
+    Fleet.observe(0, Answered);
+  Fleet.run(2s);
+  // One gateway meets all the failures.
+  constexpr std::uint64_t Spent = 10;
+  for (std::uint64_t Number = 0; Number < Spent; ++Number)
+    Fleet.spendRetry(0, Service);
+  Fleet.run(100ms);
+  const std::uint64_t Granted = Fleet.view(0).RetriesGranted_.value();
+  EXPECT_GE(Granted, 3U);
+  EXPECT_LE(Granted, RetryPool::FleetCapacity.value());
+  EXPECT_EQ(Fleet.view(1).RetriesGranted_, EventCount(0));
+}
+
+} // namespace
+} // namespace jaybridge
--- a/Tests/LibRouting/TestRetryBudget.cpp
+++ b/Tests/LibRouting/TestRetryBudget.cpp
@@ -40,5 +40,34 @@
                     BudgetCase{"Bounded", Percentage(50), 1000, 90, 10}),
     CaseName());
 
+struct PooledCase {
+  const char *Name_;
+  int FirstAttempts_;
+  std::uint64_t Granted_;
+  int Retries_;
+};
+
+class PooledBudgetTest : public testing::TestWithParam<PooledCase> {};
+
+// Guards against a gateway that keeps its own count beside the fleet's.
+TEST_P(PooledBudgetTest, HoldsWhatTheFleetGrants) {
+  RetryBudget Budget(Percentage(20),
+                     {EventCount(1), EventCount(1), /*IsPooled_=*/true});
+  ASSERT_TRUE(Budget.withdrawRetry());
+  for (int Number = 0; Number < GetParam().FirstAttempts_; ++Number)
+    Budget.depositFirstAttempt();
+  Budget.refill(EventCount(GetParam().Granted_));
+  int Retries = 0;
+  while (Budget.withdrawRetry())
+    ++Retries;
+  EXPECT_EQ(Retries, GetParam().Retries_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Grants, PooledBudgetTest,
+    testing::Values(PooledCase{"None", 1000, 0, 0}, PooledCase{"One", 0, 1, 1},
+                    PooledCase{"MoreThanItHolds", 0, 5, 1}),
+    CaseName());
+
 } // namespace
 } // namespace jaybridge
