--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -210,6 +210,9 @@
 }
 
 void GatewayDaemon::apply(RetriesGranted &Granted) {
+  Log_.write(LogLevel::Info, "retries-granted",
+             {{"service", Granted.Service_.text()},
+              {"retries", std::to_string(Granted.Retries_.value())}});
   Requests_->post(std::move(Granted));
 }
 
