LibRegistry: Try instances sooner where much of their service fails

Ruled out: too many suspects on weak evidence (within the floor).

The tests of absent and of scarce instances now say that the others serve well.

--- a/Libraries/LibRegistry/HealthBoard.cpp
+++ b/Libraries/LibRegistry/HealthBoard.cpp
@@ -68,6 +68,30 @@
   return Found != Standings_.end() && Now < Found->second.HeldUntil_;
 }
 
+void HealthBoard::releaseTroubled(const ServiceRegistry &Registry,
+                                  TimePoint Now) {
+  std::map<ServiceName, Evidence> Services;
+  for (const auto &[Id, Known] : Standings_)
+    if (const InstanceRecord *Record = Registry.find(Id);
+        Record && !Known.IsAbsent_) {
+      double Kept = remaining(Now - Known.AsOf_);
+      double Bad = Known.Failures_ + Known.Unreachable_;
+      Services[Record->Service_].Failures_ += Kept * Bad;
+      Services[Record->Service_].All_ += Kept * (Bad + Known.Successes_);
+    }
+  for (auto &[Id, Known] : Standings_) {
+    if (Now >= Known.HeldUntil_ || Known.IsAbsent_ ||
+        Now < Known.HeldSince_ + ScarceHold)
+      continue;
+    const InstanceRecord *Record = Registry.find(Id);
+    if (!Record)
+      continue;
+    const Evidence &Own = Services[Record->Service_];
+    if (Own.Failures_ > TroubledShare * Own.All_)
+      Known.HeldUntil_ = Now;
+  }
+}
+
 void HealthBoard::releaseScarce(Pool &Own, TimePoint Now) {
   auto Permitted = static_cast<std::size_t>(
       ScarceShare * static_cast<double>(Own.Others_ + Own.Proven_.size()));
@@ -107,6 +131,7 @@
 
 std::vector<InstanceId> HealthBoard::suspects(const ServiceRegistry &Registry,
                                               Percentage Floor, TimePoint Now) {
+  releaseTroubled(Registry, Now);
   std::map<ServiceName, Pool> Pools;
   for (const auto &[Id, Record] : Registry.instances()) {
     if (Record.State_ != InstanceState::Serving)
--- a/Libraries/LibRegistry/HealthBoard.h
+++ b/Libraries/LibRegistry/HealthBoard.h
@@ -16,8 +16,8 @@
 /// that fails, since a trial of a service whose requests must not be repeated
 /// costs a caller's request. After the time it is tried with a clean record.
 ///
-/// Where much of a service is left alone, its instances are tried again after
-/// the first hold already: their slots are then worth more than a request.
+/// Where much of a service is left alone, or fails, its instances are tried
+/// again sooner: their slots are then worth more than a request.
 ///
 /// The floor protects healthy capacity: an instance whose attempts mostly fail
 /// is none, however many such there are. On less evidence only so many are left
@@ -53,6 +53,10 @@
   static constexpr Duration LongestHold = 12s;
   /// More than this share of a service left alone is much.
   static constexpr double ScarceShare = 0.125;
+  /// Where more than this share of a service's attempts fails, each instance
+  /// is needed: holds end after the shorter time. Below the tenth from which on
+  /// callers' platforms look at the floor.
+  static constexpr double TroubledShare = 0.08;
   /// A failure so long after the end of a hold starts anew.
   static constexpr Duration TrialTime = 2500ms;
 
@@ -82,6 +86,10 @@
     /// Nothing but connections that could not be opened, more than once.
     bool IsAbsent_ = false;
   };
+  struct Evidence {
+    double Failures_ = 0;
+    double All_ = 0;
+  };
   struct Pool {
     /// Serving instances that are not proven to fail.
     std::size_t Others_ = 0;
@@ -95,6 +103,8 @@
   /// back.
   void keepWorst(std::vector<InstanceId> &Unproven, std::size_t Permitted,
                  TimePoint Now);
+  /// Ends the longer holds of services of which too much fails.
+  void releaseTroubled(const ServiceRegistry &Registry, TimePoint Now);
   /// Ends the oldest holds of a service that lacks instances.
   void releaseScarce(Pool &Own, TimePoint Now);
 
--- a/Tests/LibRegistry/TestHealthBoard.cpp
+++ b/Tests/LibRegistry/TestHealthBoard.cpp
@@ -41,6 +41,17 @@
   return Registry;
 }
 
+/// The instances from the index on serve well.
+void serveWell(HealthBoard &Board, std::size_t From, std::size_t To,
+               TimePoint Now) {
+  AttemptTally Served;
+  Served.Successes_ = EventCount(20);
+  for (; From < To; ++From) {
+    Served.Id_ = InstanceId("i" + std::to_string(From));
+    Board.record(Served, Now);
+  }
+}
+
 struct EvidenceCase {
   const char *Name_;
   std::vector<Seen> Outcomes_;
@@ -141,6 +152,7 @@
     for (const char *Gray : {"i3", "i4"})
       Fail(Gray, Lost, 1);
     Now += HealthBoard::FirstHold;
+    serveWell(Board, 5, 20, Now);
   }
   // Two of seventeen are not too many to be left alone longer.
   EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 5U);
@@ -185,6 +197,24 @@
   EXPECT_TRUE(std::count(Second.begin(), Second.end(), InstanceId("i3")));
 }
 
+// Guards against long holds while a service fails elsewhere too: four of eight
+// sound instances got nothing in giliran-sel-grown hunt-4273-3.
+TEST(HealthBoardTest, TriesSoonerWhereMuchOfAServiceFails) {
+  HealthBoard Board;
+  ServiceRegistry Registry = poolOf(20);
+  TimePoint Now{};
+  Board.record(tally("i0", Lost), Now);
+  EXPECT_TRUE(Board.isSuspect(InstanceId("i0"), Now));
+  Now += HealthBoard::ScarceHold;
+  for (int Index = 1; Index < 20; ++Index)
+    for (int Count = 0; Count < 5; ++Count)
+      Board.record(tally("i" + std::to_string(Index), Good), Now);
+  EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 1U);
+  for (int Index = 1; Index < 20; ++Index)
+    Board.record(tally("i" + std::to_string(Index), Seen::Error), Now);
+  EXPECT_TRUE(Board.suspects(Registry, Percentage(70), Now).empty());
+}
+
 // Guards against a service that goes without recovered instances while it
 // lacks capacity.
 TEST(HealthBoardTest, TriesTheOldestSoonerWhereInstancesAreScarce) {
@@ -196,6 +226,7 @@
       Board.record(tally("i" + std::to_string(Index), Lost), Now);
     EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 3U);
     Now += HealthBoard::FirstHold;
+    serveWell(Board, 3, 8, Now);
   }
   // Their second holds last longer, but only one of eight may go on.
   EXPECT_EQ(Board.suspects(Registry, Percentage(70), Now).size(), 1U);
