LibRegistry: Let gateways that know nothing stay with one member for a while

Ruled out: placement of requests (the same count crosses domains), contacts in other domains (few, for 4 s).

Change: only a gateway that has had a contact goes on at once; members keep for a later answer only gateways that know nothing.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -179,9 +179,11 @@
 
   void subscribe(const MemberId &From, const Subscribe &Asked, TimePoint Now,
                  Effects &Out) {
-    // The first member that is current answers those that asked before.
+    // The first member that is current answers those that know nothing yet.
+    // Others ask again, the nearest member first.
     if (!isCurrent(Now)) {
-      if (Early_.size() < SubscriberTable::Greatest)
+      if (Asked.Revision_ == LogIndex() &&
+          Early_.size() < SubscriberTable::Greatest)
         Early_[From] = {Asked, Now};
       return send(From, NotCurrent{}, Out);
     }
--- a/Libraries/LibRegistry/FleetSubscription.cpp
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -210,8 +210,10 @@
 
 void FleetSubscriptionState::leave(const MemberId &From, TimePoint Now,
                                    Effects &Out) {
-  // Once none of the members is current, they are asked again after a while.
-  if (Contact_ == From && (IsConfirmed_ || !Untried_.empty()))
+  // A gateway that knows nothing yet would be sent the whole registry by each
+  // member that it asked. Once none is current, they are asked again after a
+  // while.
+  if (Contact_ == From && HadContact_ && (IsConfirmed_ || !Untried_.empty()))
     chooseNext(Now, Out);
 }
 
