--- a/Libraries/LibRegistry/HealthBoard.h
+++ b/Libraries/LibRegistry/HealthBoard.h
@@ -22,9 +22,9 @@
 /// The floor protects healthy capacity: an instance whose attempts mostly fail
 /// is none, however many such there are. On less evidence only so many are left
 /// alone that the floor stays in use among the others, those first that fail
-/// most; the rest go on being judged. An instance that cannot
-/// be connected to any more is no part of its service: it takes nobody's place
-/// among those that are left alone.
+/// most; the rest go on being judged. An instance that cannot be connected to
+/// any more is no part of its service: it takes nobody's place among those that
+/// are left alone.
 class HealthBoard {
 public:
   /// Evidence counts half after this time.
