--- a/Libraries/LibProfile/RoutingTable.h
+++ b/Libraries/LibProfile/RoutingTable.h
@@ -31,6 +31,7 @@
   /// Begins with a slash.
   std::string Prefix_;
   std::vector<RoutePart> Parts_;
+  /// Unless a route is known to be repeatable, its requests run once at most.
   Repeatability Repeat_ = Repeatability::AtMostOnce;
   /// The longest time that a caller is kept waiting.
   Duration Patience_ = std::chrono::seconds(5);
--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -224,13 +224,13 @@
     for (const AttemptTally &Each : Report.Instances_)
       if (const InstanceRecord *Known = Registry_.find(Each.Id_))
         Retries_.deposit(Known->Service_, Each.total(), Members);
-    RetriesReplaced Replaced;
+    RetriesGranted Replacement;
     for (const RetryCount &Each : Report.Spent_)
       if (EventCount Granted = Retries_.withdraw(Each.Service_, Each.Retries_);
           Granted > EventCount(0))
-        Replaced.Granted_.push_back(RetryCount{Each.Service_, Granted});
-    if (!Replaced.Granted_.empty())
-      send(From, std::move(Replaced), Out);
+        Replacement.Retries_.push_back(RetryCount{Each.Service_, Granted});
+    if (!Replacement.Retries_.empty())
+      send(From, std::move(Replacement), Out);
   }
 
   void take(const std::vector<AttemptTally> &Seen, TimePoint Now,
--- a/Libraries/LibRegistry/FleetSubscription.cpp
+++ b/Libraries/LibRegistry/FleetSubscription.cpp
@@ -252,18 +252,21 @@
   ReportAt_ = ReportAt_ ? std::min(*ReportAt_, Due) : Due;
 }
 
-void FleetSubscriptionState::replace(const RetriesReplaced &Replaced,
+void FleetSubscriptionState::replace(const RetriesGranted &Granted,
                                      Effects &Out) {
-  for (const RetryCount &Each : Replaced.Granted_) {
+  RetriesGranted Wanted;
+  for (const RetryCount &Each : Granted.Retries_) {
     auto Known = Spent_.find(Each.Service_);
     if (Known == Spent_.end())
       continue;
-    EventCount Granted = std::min(Known->second, Each.Retries_);
-    Known->second -= Granted;
+    EventCount Taken = std::min(Known->second, Each.Retries_);
+    Known->second -= Taken;
     if (Known->second == EventCount(0))
       Spent_.erase(Known);
-    Out.emplace_back(RetriesGranted{Each.Service_, Granted});
+    Wanted.Retries_.push_back(RetryCount{Each.Service_, Taken});
   }
+  if (!Wanted.Retries_.empty())
+    Out.emplace_back(std::move(Wanted));
 }
 
 void FleetSubscriptionState::reportEvidence(Effects &Out) {
--- a/Libraries/LibRegistry/FleetSubscription.h
+++ b/Libraries/LibRegistry/FleetSubscription.h
@@ -63,7 +63,7 @@
   void observe(const ObserveAttempt &Seen, TimePoint Now);
   /// Asks for a replacement with the next report.
   void spend(const RetrySpent &Spent, TimePoint Now);
-  void replace(const RetriesReplaced &Replaced, Effects &Out);
+  void replace(const RetriesGranted &Granted, Effects &Out);
 
   /// True when the update continues what is known and is to be applied.
   bool accepts(const MemberId &From, const RegistryUpdated &Update,
@@ -152,9 +152,9 @@
       State_.confirm(Received.From_, *Current, Now, Out);
     } else if (std::holds_alternative<NotCurrent>(Received.Message_)) {
       State_.leave(Received.From_, Now, Out);
-    } else if (const auto *Replaced =
-                   std::get_if<RetriesReplaced>(&Received.Message_)) {
-      State_.replace(*Replaced, Out);
+    } else if (const auto *Granted =
+                   std::get_if<RetriesGranted>(&Received.Message_)) {
+      State_.replace(*Granted, Out);
     }
   }
   void adopt(const StoredDocument &Stored, Effects &Out) {
--- a/Libraries/LibRegistry/HealthBoard.cpp
+++ b/Libraries/LibRegistry/HealthBoard.cpp
@@ -39,12 +39,10 @@
                        weighted(Seen.Unreachable_, UnreachableWeight);
   Known.Successes_ = Known.Successes_ * Kept + weighted(Seen.Successes_, 1);
   Known.AsOf_ = Now;
-  double Bad = Known.Failures_ + Known.Unreachable_;
-  double All = Bad + Known.Successes_;
   bool IsFailing = Known.Failures_ >= LeastFailures &&
-                   Known.Failures_ >= LeastFailureShare * All;
-  bool IsUnreachable =
-      Bad >= LeastFailures && Bad >= LeastUnreachableShare * All;
+                   Known.Failures_ >= LeastFailureShare * Known.all();
+  bool IsUnreachable = Known.bad() >= LeastFailures &&
+                       Known.bad() >= LeastUnreachableShare * Known.all();
   if (IsFailing || IsUnreachable)
     hold(Known, Now);
 }
@@ -56,8 +54,7 @@
       IsTrial ? std::min(LongestHold, 2 * Suspected.Hold_) : FirstHold;
   Suspected.HeldSince_ = Now;
   Suspected.HeldUntil_ = Now + Suspected.Hold_;
-  double Bad = Suspected.Failures_ + Suspected.Unreachable_;
-  Suspected.Severity_ = Bad / (Bad + Suspected.Successes_);
+  Suspected.Severity_ = Suspected.bad() / Suspected.all();
   Suspected.IsProven_ = IsTrial || Suspected.Severity_ >= ProvenFailureShare;
   Suspected.IsAbsent_ =
       IsTrial && Suspected.Failures_ + Suspected.Successes_ < NothingHeard;
@@ -75,9 +72,9 @@
     if (const InstanceRecord *Record = Registry.find(Id);
         Record && !Known.IsAbsent_) {
       double Kept = remaining(Now - Known.AsOf_);
-      double Bad = Known.Failures_ + Known.Unreachable_;
-      Services[Record->Service_].Failures_ += Kept * Bad;
-      Services[Record->Service_].All_ += Kept * (Bad + Known.Successes_);
+      Evidence &Own = Services[Record->Service_];
+      Own.Failures_ += Kept * Known.bad();
+      Own.All_ += Kept * Known.all();
     }
   for (auto &[Id, Known] : Standings_) {
     if (Now >= Known.HeldUntil_ || Known.IsAbsent_ ||
@@ -133,6 +130,7 @@
                                               Percentage Floor, TimePoint Now) {
   releaseTroubled(Registry, Now);
   std::map<ServiceName, Pool> Pools;
+  std::vector<InstanceId> Suspected;
   for (const auto &[Id, Record] : Registry.instances()) {
     if (Record.State_ != InstanceState::Serving)
       continue;
@@ -140,7 +138,7 @@
     auto Known = Standings_.find(Id);
     bool IsHeld = Known != Standings_.end() && Now < Known->second.HeldUntil_;
     if (IsHeld && Known->second.IsAbsent_) {
-      Own.Absent_.push_back(Id);
+      Suspected.push_back(Id);
       continue;
     }
     if (IsHeld && Known->second.IsProven_) {
@@ -151,7 +149,6 @@
     if (IsHeld)
       Own.Unproven_.push_back(Id);
   }
-  std::vector<InstanceId> Suspected;
   auto Add = [&Suspected](const std::vector<InstanceId> &List) {
     Suspected.insert(Suspected.end(), List.begin(), List.end());
   };
@@ -159,7 +156,6 @@
     releaseScarce(Own, Now);
     std::size_t Kept = (Own.Others_ * Floor.value() + 99) / 100;
     keepWorst(Own.Unproven_, Own.Others_ - Kept, Now);
-    Add(Own.Absent_);
     Add(Own.Proven_);
     Add(Own.Unproven_);
   }
--- a/Libraries/LibRegistry/HealthBoard.h
+++ b/Libraries/LibRegistry/HealthBoard.h
@@ -47,15 +47,14 @@
   static constexpr double ProvenFailureShare = 0.5;
   /// Gray failures last several seconds.
   static constexpr Duration FirstHold = 5s;
-  /// Where much of a service is left alone, and for as long as one instance
-  /// must be given to be sound again.
+  /// Where much of a service is left alone or fails.
   static constexpr Duration ScarceHold = 2s;
   static constexpr Duration LongestHold = 12s;
   /// More than this share of a service left alone is much.
   static constexpr double ScarceShare = 0.125;
   /// Where more than this share of a service's attempts fails, each instance
-  /// is needed: holds end after the shorter time. Below the tenth from which on
-  /// callers' platforms look at the floor.
+  /// is needed and holds end after the shorter time. Platforms that check that
+  /// healthy instances are in use do so from a tenth on.
   static constexpr double TroubledShare = 0.08;
   /// A failure so long after the end of a hold starts anew.
   static constexpr Duration TrialTime = 2500ms;
@@ -85,6 +84,9 @@
     bool IsProven_ = false;
     /// Nothing but connections that could not be opened, more than once.
     bool IsAbsent_ = false;
+
+    double bad() const { return Failures_ + Unreachable_; }
+    double all() const { return bad() + Successes_; }
   };
   struct Evidence {
     double Failures_ = 0;
@@ -95,7 +97,6 @@
     std::size_t Others_ = 0;
     std::vector<InstanceId> Proven_;
     std::vector<InstanceId> Unproven_;
-    std::vector<InstanceId> Absent_;
   };
 
   static void hold(Standing &Suspected, TimePoint Now);
--- a/Libraries/LibRegistry/RetryPool.h
+++ b/Libraries/LibRegistry/RetryPool.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
-#include <LibCore/Units.h>
+#include <LibRouting/RetryBalance.h>
 
 #include <map>
 
@@ -29,8 +29,7 @@
   EventCount withdraw(const ServiceName &Service, EventCount Wanted);
 
 private:
-  /// In hundredths of a retry.
-  std::map<ServiceName, EventCount> Balances_;
+  std::map<ServiceName, RetryBalance> Balances_;
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRegistry/SubscriptionMessages.h
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -4,6 +4,7 @@
 
 #include <LibCore/Hash.h>
 #include <LibCore/Units.h>
+#include <LibRouting/GatewayMessages.h>
 
 #include <optional>
 #include <variant>
@@ -68,12 +69,6 @@
   MemberListDigest Members_;
 };
 
-/// Retries of a service, spent or granted.
-struct RetryCount {
-  ServiceName Service_;
-  EventCount Retries_;
-};
-
 struct EvidenceReported {
   std::vector<AttemptTally> Instances_;
   /// Spent and not replaced yet.
@@ -106,11 +101,6 @@
 /// The sender does not hear the leader: what it holds may be out of date.
 struct NotCurrent {};
 
-/// Replaces retries that the gateway has spent.
-struct RetriesReplaced {
-  std::vector<RetryCount> Granted_;
-};
-
 // Between control members.
 
 /// A follower's part of what the leader judges by.
@@ -127,7 +117,7 @@
 
 using SubscriptionMessage =
     std::variant<Subscribe, EvidenceReported, RegistryUpdated, RegistryCurrent,
-                 FollowerReported, LeaderJudged, RetriesReplaced, NotCurrent>;
+                 FollowerReported, LeaderJudged, RetriesGranted, NotCurrent>;
 
 /// A message of another daemon.
 struct SubscriptionReceived {
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -92,12 +92,17 @@
   Answer Answer_;
 };
 
-/// Retries of a service that the fleet lets this gateway make beside its own.
-struct RetriesGranted {
+/// Retries of a service, spent or granted.
+struct RetryCount {
   ServiceName Service_;
   EventCount Retries_;
 };
 
+/// Replaces retries that a gateway has spent.
+struct RetriesGranted {
+  std::vector<RetryCount> Retries_;
+};
+
 struct DrainStarted {};
 
 using GatewayEvent =
--- a/Libraries/LibRouting/RequestDispatcher.h
+++ b/Libraries/LibRouting/RequestDispatcher.h
@@ -29,7 +29,8 @@
   void configure(const CatalogChanged &Newer);
   ConfigurationVersion version() const { return Version_; }
   void grantRetries(const RetriesGranted &Granted) {
-    service(Granted.Service_).budget().refill(Granted.Retries_);
+    for (const RetryCount &Each : Granted.Retries_)
+      service(Each.Service_).budget().refill(Each.Retries_);
   }
   void quarantine(const std::vector<Fingerprint> &Fingerprints);
 
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/Units.h>
+#include <LibRouting/RetryBalance.h>
 
 namespace jaybridge {
 
@@ -36,8 +36,7 @@
 
   Percentage Share_;
   RetryBudgetBounds Bounds_;
-  /// In hundredths of a retry.
-  EventCount Balance_;
+  RetryBalance Balance_;
 };
 
 } // namespace jaybridge
--- a/Libraries/LibUpstream/UpstreamPool.h
+++ b/Libraries/LibUpstream/UpstreamPool.h
@@ -16,7 +16,7 @@
 class UpstreamPool {
 public:
   /// Cost of an instance in another failure domain: one in the own domain is
-  /// preferred until it has one more of four slots in use.
+  /// preferred until it has two more of four slots in use.
   static constexpr SelectionCost RemoteCost{0.5};
   /// Instances that join a pool within this time of its first one are not
   /// taken for cold: the gateway itself has just started.
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -23,7 +23,7 @@
   StoreInstance,
   RemoveInstance,
   DocumentDelta,
-  RetriesReplaced,
+  RetriesGranted,
   NotCurrent,
 };
 
@@ -208,8 +208,8 @@
                             readAll(Value.at(2), readRetries)};
   case Tag::NotCurrent:
     return NotCurrent{};
-  case Tag::RetriesReplaced:
-    return RetriesReplaced{readAll(Value.at(1), readRetries)};
+  case Tag::RetriesGranted:
+    return RetriesGranted{readAll(Value.at(1), readRetries)};
   case Tag::RegistryUpdated:
     return RegistryUpdated{readIndex(Value.at(1)),
                            LogIndex(Value.at(2).get<std::uint64_t>()),
@@ -267,9 +267,9 @@
                        return List;
                      },
                      [](const NotCurrent &) { return tagged(Tag::NotCurrent); },
-                     [](const RetriesReplaced &Each) {
-                       json List = tagged(Tag::RetriesReplaced);
-                       List.push_back(writeAll(Each.Granted_));
+                     [](const RetriesGranted &Each) {
+                       json List = tagged(Tag::RetriesGranted);
+                       List.push_back(writeAll(Each.Retries_));
                        return List;
                      },
                      [](const RegistryUpdated &Each) {
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -61,9 +61,7 @@
 PeerSinks GatewayDaemon::peerSinks() {
   PeerSinks Sinks;
   Sinks.Subscription_ = [this](MemberId From, SubscriptionMessage Message) {
-    if (!Following_.ring().tryPush(FleetSubscriptionEvent(
-            SubscriptionReceived{std::move(From), std::move(Message)})))
-      RingsFull_.add();
+    follow(SubscriptionReceived{std::move(From), std::move(Message)});
   };
   return Sinks;
 }
@@ -135,10 +133,7 @@
   Outlets.CancelForward_ = [](const CancelForward &) {};
   Outlets.AnswerForward_ = [](const MemberId &, const AnswerCaller &) {};
   Outlets.Observe_ = [this](ObserveAttempt Seen) { observe(std::move(Seen)); };
-  Outlets.RetrySpent_ = [this](RetrySpent Spent) {
-    if (!Following_.ring().tryPush(FleetSubscriptionEvent(std::move(Spent))))
-      RingsFull_.add();
-  };
+  Outlets.RetrySpent_ = [this](RetrySpent Spent) { follow(std::move(Spent)); };
   Outlets.Record_ = [this](const RecordStep &Step) { record(Step); };
   Outlets.Received_ = [this](const Request &Received) {
     Log_.write(LogLevel::Info, "request",
@@ -164,10 +159,14 @@
               {"configuration", std::to_string(Step.Version_.value())}});
 }
 
+void GatewayDaemon::follow(FleetSubscriptionEvent Event) {
+  if (!Following_.ring().tryPush(std::move(Event)))
+    RingsFull_.add();
+}
+
 void GatewayDaemon::observe(ObserveAttempt Seen) {
   AttemptTimes_.add(Seen.Elapsed_);
-  if (!Following_.ring().tryPush(FleetSubscriptionEvent(std::move(Seen))))
-    RingsFull_.add();
+  follow(std::move(Seen));
 }
 
 void GatewayDaemon::deliver(FleetSubscriptionEffect Effect) {
@@ -210,9 +209,10 @@
 }
 
 void GatewayDaemon::apply(RetriesGranted &Granted) {
-  Log_.write(LogLevel::Info, "retries-granted",
-             {{"service", Granted.Service_.text()},
-              {"retries", std::to_string(Granted.Retries_.value())}});
+  for (const RetryCount &Each : Granted.Retries_)
+    Log_.write(LogLevel::Info, "retries-granted",
+               {{"service", Each.Service_.text()},
+                {"retries", std::to_string(Each.Retries_.value())}});
   Requests_->post(std::move(Granted));
 }
 
--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -47,6 +47,8 @@
   void apply(const ContactChanged &Changed);
   void record(const RecordStep &Step);
   void observe(ObserveAttempt Seen);
+  /// Hands the event to the subscription; it is counted when the ring is full.
+  void follow(FleetSubscriptionEvent Event);
   std::string metricsText();
 
   Log Log_;
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -125,6 +125,12 @@
   }
 }
 
+void RegistryFleet::formWith(const InstanceRecord &Instance) {
+  while (leader() == Members_.size())
+    run(Step);
+  announce(leader(), Instance);
+}
+
 void RegistryFleet::receive(const Message &Arrived) {
   if (isCut(Arrived.From_, Arrived.To_))
     return;
@@ -229,7 +235,8 @@
             },
             [&](ContactChanged &Changed) { Seen.Contact_ = Changed.Member_; },
             [&](RetriesGranted &Granted) {
-              Seen.RetriesGranted_ += Granted.Retries_;
+              for (const RetryCount &Counted : Granted.Retries_)
+                Seen.RetriesGranted_ += Counted.Retries_;
             },
             [](auto &) {},
         },
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -40,6 +40,8 @@
   static FailureDomain domain(std::size_t Index);
 
   void run(Duration Span);
+  /// Runs until a member leads, and announces the instance to it.
+  void formWith(const InstanceRecord &Instance);
   void stopMember(std::size_t Index);
   void startMember(std::size_t Index, bool IsFirstStart = false);
   void loseFolder(std::size_t Index);
--- a/Tests/LibRegistry/TestRegistryFleet.cpp
+++ b/Tests/LibRegistry/TestRegistryFleet.cpp
@@ -45,9 +45,7 @@
   constexpr std::size_t Size = 5;
   constexpr std::size_t Gateways = 6;
   RegistryFleet Fleet(Size, Gateways);
-  while (Fleet.leader() == Size)
-    Fleet.run(RegistryFleet::Step);
-  Fleet.announce(Fleet.leader(), instance());
+  Fleet.formWith(instance());
   Fleet.run(10s);
   for (std::size_t Index = 0; Index < Gateways; ++Index) {
     bool IsNear = false;
@@ -67,9 +65,7 @@
   constexpr std::size_t Size = 11;
   constexpr std::size_t Gateways = 6;
   RegistryFleet Fleet(Size, Gateways);
-  while (Fleet.leader() == Size)
-    Fleet.run(RegistryFleet::Step);
-  Fleet.announce(Fleet.leader(), instance());
+  Fleet.formWith(instance());
   Fleet.run(12s);
   ASSERT_EQ(Fleet.voterCount(), Size);
   // All members of a domain that does not lead.
--- a/Tests/LibRegistry/TestRetryPool.cpp
+++ b/Tests/LibRegistry/TestRetryPool.cpp
@@ -42,8 +42,6 @@
 // while others keep theirs, and against more retries than the fleet may make.
 TEST(RetryPoolFleetTest, ReplacesWhatIsSpentWithinTheFleetsBound) {
   RegistryFleet Fleet(3, 4);
-  while (Fleet.leader() == 3)
-    Fleet.run(RegistryFleet::Step);
   InstanceRecord Instance{InstanceId("i"),
                           Service,
                           Endpoint::create("10.5.0.1:80").takeValue(),
@@ -51,7 +49,7 @@
                           SlotCount(4),
                           InstanceState::Serving,
                           Incarnation(5)};
-  Fleet.announce(Fleet.leader(), Instance);
+  Fleet.formWith(Instance);
   Fleet.run(8s);
   ObserveAttempt Answered;
   Answered.Service_ = Service;
--- a/Tests/platform/TestConfigurationDocument.cpp
+++ b/Tests/platform/TestConfigurationDocument.cpp
@@ -87,5 +87,33 @@
   EXPECT_EQ(Table.find(HostName("b.example"), "/a/"), nullptr);
 }
 
+struct KindCase {
+  const char *Name_;
+  std::string Kind_;
+  bool IsRepeatable_;
+};
+
+class KindTest : public testing::TestWithParam<KindCase> {};
+
+// Guards against requests that run twice because their kind is not known.
+TEST_P(KindTest, IsRepeatableOnlyWhenSafe) {
+  auto Read = platform::ConfigurationDocument::read(documentWith(
+      R"("r1":{"Host":"a.example","PathPrefix":"/a/","Kind":")" +
+      GetParam().Kind_ +
+      R"(","TimeoutS":1,"TargetLatencyS":1,"Priority":0,"Service":"s1",)"
+      R"("MaxAttempts":1})"));
+  ASSERT_TRUE(Read) << Read.error().Message_;
+  const Route *Found = Read.value().find(HostName("a.example"), "/a/b");
+  ASSERT_NE(Found, nullptr);
+  EXPECT_EQ(Found->Rules_.isRepeatable(), GetParam().IsRepeatable_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, KindTest,
+                         testing::Values(KindCase{"Safe", "safe", true},
+                                         KindCase{"Unsafe", "unsafe", false},
+                                         KindCase{"Unknown", "other", false},
+                                         KindCase{"Empty", "", false}),
+                         CaseName());
+
 } // namespace
 } // namespace jaybridge
