--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -53,6 +53,15 @@
   }
 
   bool isRunning() const { return ProcessId_ > 0; }
+  pid_t processId() const { return ProcessId_; }
+  /// True when the process has ended by itself; it is not reaped.
+  bool hasEnded() const {
+    siginfo_t Info{};
+    return ProcessId_ > 0 &&
+           ::waitid(P_PID, static_cast<id_t>(ProcessId_), &Info,
+                    WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           Info.si_pid == ProcessId_;
+  }
   void send(int Signal) const {
     if (ProcessId_ > 0)
       ::kill(ProcessId_, Signal);
--- /dev/null
+++ b/Tests/platform/DutyFleet.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "StandInInstance.h"
+
+#include <Support/ChildProcess.h>
+#include <Support/LoadClient.h>
+
+#include <LibCore/Quantity.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jaybridge {
+
+/// Three control members and some gateways as child processes, with instances
+/// of the service "service" inside the test. All files are in one temporary
+/// folder. The kernel assigns the ports.
+///
+/// The configuration has the routes "/safe/", "/unsafe/" and "/long/" of the
+/// host "h.example"; "/long/" is safe and has a patience of 15 s.
+class DutyFleet {
+public:
+  explicit DutyFleet(std::size_t GatewayCount);
+  ~DutyFleet();
+  DutyFleet(const DutyFleet &) = delete;
+  DutyFleet &operator=(const DutyFleet &) = delete;
+
+  /// Starts all processes and waits until they serve the configuration. False
+  /// when they have not within a minute.
+  [[nodiscard]] bool start();
+  void addInstances(std::size_t Count, StandInInstance::Behaviour Respond);
+  StandInInstance &instance(std::size_t Index) { return *Instances_[Index]; }
+  std::size_t instanceCount() const { return Instances_.size(); }
+  /// Waits until each gateway gets a request to Path answered with 200.
+  [[nodiscard]] bool waitUntilServing(const std::string &Path);
+
+  /// A request to a gateway. Each call gives it a new id.
+  LoadRequest request(std::size_t Gateway, const std::string &Method,
+                      const std::string &Path);
+  LoadResponse send(std::size_t Gateway, const std::string &Method,
+                    const std::string &Path);
+  /// Sends an entry of the list of instances to control members until one
+  /// answers finally. Returns the status.
+  unsigned announce(const std::string &Id, const std::string &Body);
+
+  std::size_t gatewayCount() const { return Gateways_.size(); }
+  /// Processes that have ended by themselves.
+  std::size_t endedProcesses() const;
+  /// Peak memory of a gateway.
+  ByteCount peakMemoryOf(std::size_t Gateway) const;
+  std::string logText(const std::string &Name) const;
+  std::vector<std::string> gatewayNames() const;
+  std::vector<std::string> memberNames() const;
+
+private:
+  static constexpr std::size_t MemberCount = 3;
+
+  void startControlMember(std::size_t Index);
+  void startGateway(std::size_t Index);
+  bool writeConfiguration();
+  LoadResponse callControl(std::size_t Member, const std::string &Method,
+                           const std::string &Path, const std::string &Body);
+  std::string memberAddress(std::size_t Index) const;
+  std::string gatewayAddress(std::size_t Index) const;
+  std::string seeds() const;
+
+  std::string Folder_;
+  Port PeerPort_;
+  Port ControlPort_;
+  Port CallerPort_;
+  Port StatusPort_;
+  std::size_t GatewayCount_;
+  std::atomic<unsigned> LastRequest_ = 0;
+  std::vector<ChildProcess> Members_;
+  std::vector<ChildProcess> Gateways_;
+  std::vector<std::unique_ptr<StandInInstance>> Instances_;
+};
+
+} // namespace jaybridge
