LibHTTP, jaybridged: Show lost, misattributed and oversized responses

What operators saw: nothing connected the losses of equal requests of several callers, and no metric counted responses that name another request or that were cut off because of their size. The hypotheses in docs/incidents/crashing-requests.md could not be told apart from logs.

No decision changes.

--- a/Libraries/LibHTTP/UpstreamClient.cpp
+++ b/Libraries/LibHTTP/UpstreamClient.cpp
@@ -53,7 +53,8 @@
 
   UpstreamClientCounts counts() const {
     return {EventCount(Started_), EventCount(Connections_),
-            EventCount(ResendsPrevented_)};
+            EventCount(ResendsPrevented_), EventCount(Misattributed_),
+            EventCount(TooLarge_)};
   }
 
 private:
@@ -120,8 +121,12 @@
       auto Found = Transfers_.find(Transfer->attempt());
       JAYBRIDGE_VERIFY(Found != Transfers_.end());
       countConnections(*Transfer);
+      if (Transfer->namesOtherRequest())
+        Misattributed_.fetch_add(1, std::memory_order_relaxed);
       const AttemptId Id = Transfer->attempt();
       AttemptOutcome Ended = Transfer->finish(Code, monotonicNow());
+      if (Ended.Result_ == AttemptResult::ResponseTooLarge)
+        TooLarge_.fetch_add(1, std::memory_order_relaxed);
       release(Found);
       OnFinished_({Id, std::move(Ended)});
     }
@@ -165,6 +170,8 @@
   std::atomic<std::uint64_t> Started_ = 0;
   std::atomic<std::uint64_t> Connections_ = 0;
   std::atomic<std::uint64_t> ResendsPrevented_ = 0;
+  std::atomic<std::uint64_t> Misattributed_ = 0;
+  std::atomic<std::uint64_t> TooLarge_ = 0;
 
   // Accessed by the client's thread only, except for the wakeup.
   MultiHandle Multi_;
--- a/Libraries/LibHTTP/UpstreamClient.h
+++ b/Libraries/LibHTTP/UpstreamClient.h
@@ -34,6 +34,10 @@
   /// Requests that libcurl tried to resend on a new connection; each resend was
   /// prevented.
   EventCount ResendsPrevented_;
+  /// Responses that name another request than the one that was sent.
+  EventCount Misattributed_;
+  /// Responses that were cut off because of their size.
+  EventCount TooLarge_;
 };
 
 /// Sends attempts to upstreams over HTTP/1.1 with kept-alive connections. Runs
--- a/Libraries/LibHTTP/UpstreamTransfer.cpp
+++ b/Libraries/LibHTTP/UpstreamTransfer.cpp
@@ -241,6 +241,20 @@
           NotRunField->Value_ == Dialect_.NotRunValue_);
 }
 
+bool UpstreamTransfer::namesOtherRequest() const {
+  const Request &Sent = *Attempt_.Request_;
+  const bool IsCallerIdSent = !Dialect_.CallerRequestId_.empty();
+  const std::string_view Name =
+      IsCallerIdSent ? Dialect_.CallerRequestId_ : RequestIdHeader;
+  const std::optional<RequestId> OwnId =
+      IsCallerIdSent ? Sent.CallerId_ : Sent.Id_;
+  return std::any_of(ResponseHeaders_.begin(), ResponseHeaders_.end(),
+                     [&](const Header &Field) {
+                       return isSameHeaderName(Field.Name_, Name) &&
+                              (!OwnId || Field.Value_ != OwnId->text());
+                     });
+}
+
 bool UpstreamTransfer::isResponseToAttempt(long Status) const {
   const bool IsSuccess =
       Status >= MinFinalStatus && Status < MinRedirectionStatus;
--- a/Libraries/LibHTTP/UpstreamTransfer.h
+++ b/Libraries/LibHTTP/UpstreamTransfer.h
@@ -37,6 +37,8 @@
   CURL *handle() const { return Handle_.get(); }
   AttemptId attempt() const { return Attempt_.Attempt_; }
   bool wasResendPrevented() const { return WasResendPrevented_; }
+  /// Whether the response names another request than that of this attempt.
+  bool namesOtherRequest() const;
   /// Releases the handle of a finished transfer for reuse.
   EasyHandle takeHandle() { return std::move(Handle_); }
 
--- a/Libraries/LibUpstream/AttemptOutcome.h
+++ b/Libraries/LibUpstream/AttemptOutcome.h
@@ -45,4 +45,11 @@
          Result == AttemptResult::ConnectFailed;
 }
 
+/// Returns true when the connection ended before the complete response, as it
+/// does when the instance ends.
+constexpr bool isConnectionCut(AttemptResult Result) {
+  return Result == AttemptResult::ConnectionLost ||
+         Result == AttemptResult::ResponseTruncated;
+}
+
 } // namespace jaybridge
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -177,6 +177,12 @@
 
 void GatewayDaemon::observeAttempt(ReportAttempt Attempt) {
   AttemptTimes_.add(Attempt.Elapsed_);
+  // The fingerprint shows which requests were equal, whoever sent them.
+  if (isConnectionCut(Attempt.Result_))
+    Log_.write(LogLevel::Info, "attempt-lost",
+               {{"service", Attempt.Service_.text()},
+                {"instance", Attempt.Instance_.text()},
+                {"fingerprint", std::to_string(Attempt.Fingerprint_.value())}});
   postToSubscription(std::move(Attempt));
 }
 
@@ -244,6 +250,9 @@
   Set("jaybridge_requests_refused_unknown", Counts.RefusedUnknown_);
   Set("jaybridge_log_lines_dropped", Log_.droppedLineCount());
   Set("jaybridge_configuration_version", EventCount(AppliedVersion_));
+  const UpstreamClientCounts Upstreams = RequestPath_->upstreams().counts();
+  Set("jaybridge_upstream_responses_misattributed", Upstreams.Misattributed_);
+  Set("jaybridge_upstream_responses_too_large", Upstreams.TooLarge_);
   return Metrics_.text();
 }
 
