LibHTTP: Believe a refusal only if it belongs to the attempt

What callers saw: an action ran twice, or was refused as not run although it ran, after an instance had written a refusal of another request.

Cause: the client looked for the header that states not-run before it compared request ids. Class: a statement is trusted without checking what it is about.

Change: a refusal that names another request is none. On a reused connection, where an earlier refusal may come again, it must echo the id of the attempt; the fake upstream now does, as docs/upstreams.md asks. The outcome of the attempt is then unknown, so that an action is not sent again.

Elsewhere: a 421 for another request was believed too; covered by the same check. Other responses were already compared where the dialect has an id. With the product's own headers they are not: an upstream may be a gateway that sends its own id.

New rows in HeaderDialectTest and RepeatedRefusalTest.

--- a/Libraries/LibHTTP/UpstreamClient.cpp
+++ b/Libraries/LibHTTP/UpstreamClient.cpp
@@ -121,10 +121,11 @@
       auto Found = Transfers_.find(Transfer->attempt());
       JAYBRIDGE_VERIFY(Found != Transfers_.end());
       countConnections(*Transfer);
-      if (Transfer->namesOtherRequest())
-        Misattributed_.fetch_add(1, std::memory_order_relaxed);
       const AttemptId Id = Transfer->attempt();
       AttemptOutcome Ended = Transfer->finish(Code, monotonicNow());
+      if (Ended.Result_ == AttemptResult::ResponseTruncated &&
+          Transfer->namesOtherRequest())
+        Misattributed_.fetch_add(1, std::memory_order_relaxed);
       if (Ended.Result_ == AttemptResult::ResponseTooLarge)
         TooLarge_.fetch_add(1, std::memory_order_relaxed);
       release(Found);
--- a/Libraries/LibHTTP/UpstreamTransfer.cpp
+++ b/Libraries/LibHTTP/UpstreamTransfer.cpp
@@ -223,7 +223,8 @@
   if (Code != CURLE_OK || !AreHeadersComplete_ || Status < MinFinalStatus)
     return AttemptResult::ResponseTruncated;
   if (isNotRunResponse(Status))
-    return AttemptResult::RefusedNotRun;
+    return isRefusalOfAttempt() ? AttemptResult::RefusedNotRun
+                                : AttemptResult::ResponseTruncated;
   return isResponseToAttempt(Status) ? AttemptResult::Answered
                                      : AttemptResult::ResponseTruncated;
 }
@@ -241,13 +242,25 @@
           NotRunField->Value_ == Dialect_.NotRunValue_);
 }
 
+std::string_view UpstreamTransfer::requestIdHeader() const {
+  return Dialect_.CallerRequestId_.empty()
+             ? std::string_view(RequestIdHeader)
+             : std::string_view(Dialect_.CallerRequestId_);
+}
+
+bool UpstreamTransfer::isRefusalOfAttempt() const {
+  if (namesOtherRequest())
+    return false;
+  long NewConnections = 0;
+  curl_easy_getinfo(Handle_.get(), CURLINFO_NUM_CONNECTS, &NewConnections);
+  return NewConnections > 0 || findHeader(ResponseHeaders_, requestIdHeader());
+}
+
 bool UpstreamTransfer::namesOtherRequest() const {
   const Request &Sent = *Attempt_.Request_;
-  const bool IsCallerIdSent = !Dialect_.CallerRequestId_.empty();
-  const std::string_view Name =
-      IsCallerIdSent ? Dialect_.CallerRequestId_ : RequestIdHeader;
   const std::optional<RequestId> OwnId =
-      IsCallerIdSent ? Sent.CallerId_ : Sent.Id_;
+      Dialect_.CallerRequestId_.empty() ? Sent.Id_ : Sent.CallerId_;
+  const std::string_view Name = requestIdHeader();
   return std::any_of(ResponseHeaders_.begin(), ResponseHeaders_.end(),
                      [&](const Header &Field) {
                        return isSameHeaderName(Field.Name_, Name) &&
@@ -258,15 +271,15 @@
 bool UpstreamTransfer::isResponseToAttempt(long Status) const {
   const bool IsSuccess =
       Status >= MinFinalStatus && Status < MinRedirectionStatus;
-  if (const Header *RequestIdField =
-          Dialect_.CallerRequestId_.empty()
-              ? nullptr
-              : findHeader(ResponseHeaders_, Dialect_.CallerRequestId_))
-    return Attempt_.Request_->CallerId_ &&
-           RequestIdField->Value_ == Attempt_.Request_->CallerId_->text() &&
-           (!IsSuccess || Dialect_.Signature_.empty() ||
-            findHeader(ResponseHeaders_, Dialect_.Signature_));
-  return Dialect_.CallerRequestId_.empty() || !IsSuccess;
+  if (Dialect_.CallerRequestId_.empty())
+    return true;
+  if (namesOtherRequest())
+    return false;
+  if (!IsSuccess)
+    return true;
+  return findHeader(ResponseHeaders_, Dialect_.CallerRequestId_) &&
+         (Dialect_.Signature_.empty() ||
+          findHeader(ResponseHeaders_, Dialect_.Signature_));
 }
 
 std::optional<SlotCount> UpstreamTransfer::reportedLoad() const {
--- a/Libraries/LibHTTP/UpstreamTransfer.h
+++ b/Libraries/LibHTTP/UpstreamTransfer.h
@@ -58,11 +58,16 @@
   void setHeaders(Duration RemainingTime);
   void setConnection(const UpstreamClientOptions &Options);
   long statusCode() const;
+  /// Name of the header in which the upstream echoes the request id.
+  std::string_view requestIdHeader() const;
   bool isNotRunResponse(long Status) const;
-  /// Whether the response belongs to this attempt: it must echo the request id,
-  /// which only responses other than 2xx may omit, and a 2xx response with the
-  /// id must carry the signature. Only headers that the dialect names are
-  /// checked.
+  /// Whether a refusal belongs to this attempt: it must not name another
+  /// request. On a reused connection it must echo the request id, because the
+  /// upstream may have written a refusal of an earlier request again.
+  bool isRefusalOfAttempt() const;
+  /// Whether a response other than a refusal belongs to this attempt: it must
+  /// not name another request, and a 2xx response must echo the request id and
+  /// carry the signature. Only headers that the dialect names are checked.
   bool isResponseToAttempt(long Status) const;
   std::optional<SlotCount> reportedLoad() const;
   AttemptResult resultOf(CURLcode Code) const;
--- a/Tests/Fakes/FakeUpstream.cpp
+++ b/Tests/Fakes/FakeUpstream.cpp
@@ -134,7 +134,7 @@
   }
   if (State_ != FakeState::Serving && !IsProbe) {
     Received.Session_->closeAfterResponse();
-    shed(*Received.Session_);
+    shed(Received);
     return;
   }
   if (Executing_.size() < Options_.Slots_.value())
@@ -142,12 +142,16 @@
   else if (Queue_.size() < Options_.QueueCapacity_.value())
     Queue_.push_back(std::move(Received));
   else
-    shed(*Received.Session_);
+    shed(Received);
 }
 
-void FakeUpstream::shed(FakeSession &Session) {
+void FakeUpstream::shed(const Task &Refused) {
   Shed_ += EventCount(1);
-  Session.respond(StatusCode(503), {{OutcomeHeader, OutcomeNotRun}}, "");
+  std::vector<Header> Headers = {{OutcomeHeader, OutcomeNotRun}};
+  if (const Header *Id =
+          findHeader(Refused.Request_.Headers_, RequestIdHeader))
+    Headers.push_back({RequestIdHeader, Id->Value_});
+  Refused.Session_->respond(StatusCode(503), std::move(Headers), "");
 }
 
 FakeUpstream::Fault FakeUpstream::drawFault() {
@@ -240,7 +244,7 @@
     Task Next = std::move(Queue_.front());
     Queue_.pop_front();
     if (Next.Deadline_ && *Next.Deadline_ <= std::chrono::steady_clock::now())
-      shed(*Next.Session_);
+      shed(Next);
     else
       execute(std::move(Next));
   }
--- a/Tests/Fakes/FakeUpstream.h
+++ b/Tests/Fakes/FakeUpstream.h
@@ -91,7 +91,7 @@
   void execute(Task Admitted);
   void finish(FakeSession *Key, Fault Drawn);
   void startQueued();
-  void shed(FakeSession &Session);
+  void shed(const Task &Refused);
   Fault drawFault();
   Duration serviceTime() const;
   void endExecution(FakeSession *Key, const char *Outcome);
--- a/Tests/LibHTTP/TestHeaderDialect.cpp
+++ b/Tests/LibHTTP/TestHeaderDialect.cpp
@@ -93,8 +93,23 @@
             "NotRun",
             responseWith("503 No", "X-Attempt: outer\r\nX-Not-Run: 1\r\n"),
             AttemptResult::RefusedNotRun},
+        DialectCase{"NotRunOfAnotherRequest",
+                    responseWith("503 No", "X-Attempt: other\r\n"
+                                           "X-Not-Run: 1\r\n"),
+                    AttemptResult::ResponseTruncated},
+        DialectCase{"NotRunOfTwoRequests",
+                    responseWith("503 No", "X-Attempt: outer\r\n"
+                                           "X-Attempt: other\r\n"
+                                           "X-Not-Run: 1\r\n"),
+                    AttemptResult::ResponseTruncated},
+        DialectCase{"NotRunWithoutAnId",
+                    responseWith("503 No", "X-Not-Run: 1\r\n"),
+                    AttemptResult::RefusedNotRun},
         DialectCase{"AnotherInstance", responseWith("421 No", ""),
                     AttemptResult::RefusedNotRun},
+        DialectCase{"AnotherInstanceForAnotherRequest",
+                    responseWith("421 No", "X-Attempt: other\r\n"),
+                    AttemptResult::ResponseTruncated},
         DialectCase{"CutShort",
                     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
                     "X-Attempt: outer\r\nX-Signed: s\r\n\r\nok",
--- a/Tests/LibHTTP/TestUpstreamClient.cpp
+++ b/Tests/LibHTTP/TestUpstreamClient.cpp
@@ -168,6 +168,45 @@
                            return std::string(Info.param);
                          });
 
+struct RepeatedRefusalCase {
+  const char *Name_;
+  /// Header line of the refusal on a connection that carried another request.
+  std::string IdLine_;
+  AttemptResult Result_;
+};
+
+class RepeatedRefusalTest
+    : public testing::TestWithParam<RepeatedRefusalCase> {};
+
+// Guards against an earlier refusal that the upstream writes again on a kept
+// connection, in place of the response to a request that it runs.
+TEST_P(RepeatedRefusalTest, IsBelievedOnlyWithTheOwnId) {
+  ClientFixture Fixture;
+  RawListener Upstream;
+  Fixture.send(Upstream.address(), "POST");
+  auto KeptAlive = Upstream.accept();
+  ASSERT_TRUE(KeptAlive);
+  KeptAlive->readMessage();
+  KeptAlive->send(okResponse("first"));
+  EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_, AttemptResult::Answered);
+  Fixture.send(Upstream.address(), "POST");
+  KeptAlive->readMessage();
+  KeptAlive->send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n" +
+                  GetParam().IdLine_ +
+                  "Jaybridge-Outcome: not-run\r\n\r\n");
+  EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_, GetParam().Result_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ids, RepeatedRefusalTest,
+    testing::Values(
+        RepeatedRefusalCase{"Own", "Jaybridge-Request-Id: r\r\n",
+                            AttemptResult::RefusedNotRun},
+        RepeatedRefusalCase{"Other", "Jaybridge-Request-Id: other\r\n",
+                            AttemptResult::ResponseTruncated},
+        RepeatedRefusalCase{"None", "", AttemptResult::ResponseTruncated}),
+    CaseName());
+
 // Guards against requests that fail because they are sent on an idle connection
 // that the upstream has closed.
 TEST(UpstreamClientTest, OpensConnectionAfterUpstreamClosedIdleOne) {
