LibHTTP: Bound the memory of all responses in progress

What operators saw: a few responses without end took a gateway to 140 MB; the smallest VMs have 160 MB.

Cause: each response had a limit (16 MiB there), all of them together had none. Class: a resource bounded per item only.

Change: the client counts the memory of all bodies in progress. Above 32 MiB it stops reading, ends the attempt with the largest body as too large, and goes on with the others, so that proper responses wait at most for that. A response whose stated length is above the limit ends at its head.

Ruled out: endless heads, interim responses and bytes that are no response were cut off before already (64 KiB of head, libcurl's limits).

--- a/Libraries/LibHTTP/UpstreamClient.cpp
+++ b/Libraries/LibHTTP/UpstreamClient.cpp
@@ -4,6 +4,7 @@
 #include <LibRuntime/BoundedRing.h>
 #include <LibRuntime/SystemClock.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <thread>
@@ -33,7 +34,7 @@
   Driver(UpstreamClientOptions Options, Callback OnFinished, MultiHandle Multi)
       : Options_(Options), OnFinished_(std::move(OnFinished)),
         CommandRing_(RingCapacity(Options.CommandQueueCapacity_.value())),
-        Multi_(std::move(Multi)) {
+        Multi_(std::move(Multi)), Buffers_(Options.BufferLimit_) {
     curl_multi_setopt(Multi_.get(), CURLMOPT_MAXCONNECTS, MaxIdleConnections);
     Thread_ = std::thread([this] { run(); });
   }
@@ -66,6 +67,7 @@
       int RunningTransfers = 0;
       curl_multi_perform(Multi_.get(), &RunningTransfers);
       reportFinishedTransfers();
+      limitBuffers();
       curl_multi_poll(Multi_.get(), nullptr, 0, MaxPollTimeoutMs, nullptr);
     }
     while (!Transfers_.empty())
@@ -90,7 +92,7 @@
       return;
     }
     auto Transfer = std::make_unique<UpstreamTransfer>(
-        std::move(Attempt), takeIdleHandle(), Options_, Now);
+        std::move(Attempt), takeIdleHandle(), Options_, Buffers_, Now);
     JAYBRIDGE_VERIFY(curl_multi_add_handle(Multi_.get(), Transfer->handle()) ==
                      CURLM_OK);
     Started_.fetch_add(1, std::memory_order_relaxed);
@@ -133,6 +135,27 @@
     }
   }
 
+  // An upstream that sends without end would otherwise take the memory of all
+  // other responses.
+  void limitBuffers() {
+    while (Buffers_.isOverLimit()) {
+      auto Largest = std::max_element(Transfers_.begin(), Transfers_.end(),
+                                      [](const auto &Left, const auto &Right) {
+                                        return Left.second->heldBytes() <
+                                               Right.second->heldBytes();
+                                      });
+      const AttemptId Id = Largest->first;
+      Largest->second->cutOff();
+      AttemptOutcome Ended =
+          Largest->second->finish(CURLE_WRITE_ERROR, monotonicNow());
+      TooLarge_.fetch_add(1, std::memory_order_relaxed);
+      release(Largest);
+      OnFinished_({Id, std::move(Ended)});
+      for (auto &[PausedId, Paused] : Transfers_)
+        Paused->resume();
+    }
+  }
+
   void countConnections(const UpstreamTransfer &Transfer) {
     long Opened = 0;
     curl_easy_getinfo(Transfer.handle(), CURLINFO_NUM_CONNECTS, &Opened);
@@ -177,6 +200,7 @@
   // Accessed by the client's thread only, except for the wakeup.
   MultiHandle Multi_;
   std::vector<EasyHandle> IdleHandles_;
+  ResponseBuffers Buffers_;
   TransferMap Transfers_;
   std::thread Thread_;
 };
--- a/Libraries/LibHTTP/UpstreamClient.h
+++ b/Libraries/LibHTTP/UpstreamClient.h
@@ -15,6 +15,9 @@
 struct UpstreamClientOptions {
   /// Attempts with a larger response body end as `ResponseTooLarge`.
   ByteCount AnswerLimit_{4UL * 1024 * 1024};
+  /// Limit of the response bodies of all attempts in progress together. Above
+  /// it the attempt with the largest body ends as `ResponseTooLarge`.
+  ByteCount BufferLimit_{32UL * 1024 * 1024};
   /// Timeout for opening a connection; the attempt's deadline applies as well.
   Duration ConnectTimeout_ = 500ms;
   /// A kept-alive connection that was idle for longer is not reused. Rounded up
--- a/Libraries/LibHTTP/UpstreamTransfer.cpp
+++ b/Libraries/LibHTTP/UpstreamTransfer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 namespace jaybridge {
 
@@ -46,9 +47,10 @@
 
 UpstreamTransfer::UpstreamTransfer(SendAttempt Attempt, EasyHandle Handle,
                                    const UpstreamClientOptions &Options,
-                                   TimePoint Now)
+                                   ResponseBuffers &Buffers, TimePoint Now)
     : Attempt_(std::move(Attempt)), Handle_(std::move(Handle)), StartedAt_(Now),
-      AnswerLimit_(Options.AnswerLimit_), Dialect_(Options.Dialect_) {
+      AnswerLimit_(Options.AnswerLimit_), Buffers_(Buffers),
+      Dialect_(Options.Dialect_), Body_(Buffers) {
   const Duration RemainingTime = Attempt_.Deadline_ - Now;
   setRequest();
   setHeaders(RemainingTime);
@@ -94,6 +96,9 @@
     setOption(Easy, CURLOPT_NOBODY, 1L);
     return;
   }
+  // Ends the transfer at once when the stated length is above the limit.
+  setOption(Easy, CURLOPT_MAXFILESIZE_LARGE,
+            static_cast<curl_off_t>(AnswerLimit_.value()));
   if (HasBody || Sent.Method_ == "POST" || Sent.Method_ == "PUT") {
     // libcurl does not copy the body; Attempt_ keeps it alive.
     setOption(Easy, CURLOPT_POSTFIELDS, HasBody ? Sent.Body_->data() : "");
@@ -154,7 +159,7 @@
                                      std::size_t Count, void *UserData) {
   const std::size_t Length = Size * Count;
   auto &Transfer = *static_cast<UpstreamTransfer *>(UserData);
-  return Transfer.addBody({Data, Length}) ? Length : 0;
+  return Transfer.addBody({Data, Length});
 }
 
 bool UpstreamTransfer::addHeaderLine(std::string_view Line) {
@@ -192,13 +197,27 @@
   return true;
 }
 
-bool UpstreamTransfer::addBody(std::string_view Bytes) {
-  if (ResponseBody_.size() + Bytes.size() > AnswerLimit_.value()) {
-    IsResponseTooLarge_ = true;
-    return false;
+std::size_t UpstreamTransfer::addBody(std::string_view Bytes) {
+  if (Body_.size() + Bytes.size() > AnswerLimit_.value()) {
+    cutOff();
+    return CURL_WRITEFUNC_ERROR;
   }
-  ResponseBody_.append(Bytes);
-  return true;
+  if (Buffers_.isOverLimit()) {
+    IsPaused_ = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  Body_.append(Bytes);
+  return Bytes.size();
+}
+
+void UpstreamTransfer::cutOff() {
+  IsResponseTooLarge_ = true;
+  Body_.discard();
+}
+
+void UpstreamTransfer::resume() {
+  if (std::exchange(IsPaused_, false))
+    curl_easy_pause(Handle_.get(), CURLPAUSE_CONT);
 }
 
 long UpstreamTransfer::statusCode() const {
@@ -210,7 +229,7 @@
 AttemptResult UpstreamTransfer::resultOf(CURLcode Code) const {
   if (!IsSendStarted_)
     return AttemptResult::ConnectFailed;
-  if (IsResponseTooLarge_)
+  if (IsResponseTooLarge_ || Code == CURLE_FILESIZE_EXCEEDED)
     return AttemptResult::ResponseTooLarge;
   if (Code == CURLE_OPERATION_TIMEDOUT)
     return AttemptResult::TimedOut;
@@ -307,7 +326,7 @@
   Ended.Response_ =
       Response{StatusCode(static_cast<std::uint16_t>(statusCode())),
                std::move(ResponseHeaders_),
-               std::make_shared<const std::string>(std::move(ResponseBody_))};
+               std::make_shared<const std::string>(Body_.take())};
   return Ended;
 }
 
--- a/Libraries/LibHTTP/UpstreamTransfer.h
+++ b/Libraries/LibHTTP/UpstreamTransfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHTTP/ResponseBuffers.h>
 #include <LibHTTP/UpstreamClient.h>
 
 #include <curl/curl.h>
@@ -30,7 +31,8 @@
 class UpstreamTransfer {
 public:
   UpstreamTransfer(SendAttempt Attempt, EasyHandle Handle,
-                   const UpstreamClientOptions &Options, TimePoint Now);
+                   const UpstreamClientOptions &Options,
+                   ResponseBuffers &Buffers, TimePoint Now);
   UpstreamTransfer(const UpstreamTransfer &) = delete;
   UpstreamTransfer &operator=(const UpstreamTransfer &) = delete;
 
@@ -39,6 +41,11 @@
   bool wasResendPrevented() const { return WasResendPrevented_; }
   /// Whether the response names another request than that of this attempt.
   bool namesOtherRequest() const;
+  std::size_t heldBytes() const { return Body_.heldBytes(); }
+  /// Discards the body as too large; the transfer then has to be finished.
+  void cutOff();
+  /// Goes on receiving when the client's buffers were over their limit.
+  void resume();
   /// Releases the handle of a finished transfer for reuse.
   EasyHandle takeHandle() { return std::move(Handle_); }
 
@@ -53,7 +60,8 @@
   static int onBeforeSend(void *UserData, char *, char *, int, int);
 
   bool addHeaderLine(std::string_view Line);
-  bool addBody(std::string_view Bytes);
+  /// Returns the number of bytes taken, or CURL_WRITEFUNC_PAUSE.
+  std::size_t addBody(std::string_view Bytes);
   void setRequest();
   void setHeaders(Duration RemainingTime);
   void setConnection(const UpstreamClientOptions &Options);
@@ -77,17 +85,19 @@
   HeaderList RequestHeaders_;
   TimePoint StartedAt_;
   ByteCount AnswerLimit_;
+  ResponseBuffers &Buffers_;
   HeaderDialect Dialect_;
 
   /// Whether libcurl has a connection and may have written the request to it.
   bool IsSendStarted_ = false;
   bool WasResendPrevented_ = false;
   bool IsResponseTooLarge_ = false;
+  bool IsPaused_ = false;
   bool IsResponseStarted_ = false;
   bool AreHeadersComplete_ = false;
   std::size_t HeaderBytes_ = 0;
   std::vector<Header> ResponseHeaders_;
-  std::string ResponseBody_;
+  BufferedBody Body_;
 };
 
 } // namespace jaybridge
