LibWire: Report damaged registry messages instead of ending

What operators would see: a daemon that ends each time it reads one entry, a control member at each start.

Cause: a command without content threw an exception that nothing catches, the state of an instance was cast unchecked, and the parser builds nested values recursively, so that a million levels overflow the stack.

Change: each of these is reported as damaged. A first pass stops the parser at 16 levels.

--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -34,9 +34,48 @@
   return Bytes;
 }
 
+/// No message or command has more levels of lists.
+constexpr std::size_t MaxNestingDepth = 16;
+
+/// Stops the parser at a value that is nested too deeply, since the parser
+/// builds values recursively.
+class NestingLimit : public json::json_sax_t {
+public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(json::number_integer_t) override { return true; }
+  bool number_unsigned(json::number_unsigned_t) override { return true; }
+  bool number_float(json::number_float_t, const std::string &) override {
+    return true;
+  }
+  bool string(std::string &) override { return true; }
+  bool binary(json::binary_t &) override { return true; }
+  bool key(std::string &) override { return true; }
+  bool start_object(std::size_t) override { return enter(); }
+  bool end_object() override { return leave(); }
+  bool start_array(std::size_t) override { return enter(); }
+  bool end_array() override { return leave(); }
+  bool parse_error(std::size_t, const std::string &,
+                   const nlohmann::detail::exception &) override {
+    return false;
+  }
+
+private:
+  bool enter() { return ++Depth_ <= MaxNestingDepth; }
+  bool leave() {
+    --Depth_;
+    return true;
+  }
+  std::size_t Depth_ = 0;
+};
+
 /// Decodes CBOR and passes the value to Read. Malformed content is `Damaged`.
 template <typename Value, typename Function>
 Result<Value> readCbor(std::string_view Bytes, Function Read) {
+  NestingLimit Limit;
+  if (!json::sax_parse(Bytes, &Limit, json::input_format_t::cbor))
+    return Error{
+        ErrorCode::Damaged, "message is damaged or nested too deeply", {}};
   try {
     return Result<Value>(Read(json::from_cbor(Bytes)));
   } catch (const json::exception &Failure) {
@@ -73,7 +112,11 @@
   Record.Address_ = Address.takeValue();
   Record.Domain_ = FailureDomain(Value.at(4).get<std::string>());
   Record.Slots_ = SlotCount(Value.at(5).get<std::uint32_t>());
-  Record.State_ = static_cast<InstanceState>(Value.at(6).get<unsigned>());
+  const auto State = Value.at(6).get<unsigned>();
+  if (State > static_cast<unsigned>(InstanceState::Lapsed))
+    throw json::other_error::create(501, "unknown state of an instance",
+                                    nullptr);
+  Record.State_ = static_cast<InstanceState>(State);
   Record.Version_ = Incarnation(Value.at(7).get<std::uint64_t>());
   return Record;
 }
@@ -195,6 +238,13 @@
   return Delta;
 }
 
+/// Returns the content of a command, which must not be empty.
+template <typename Content> Content required(std::optional<Content> Read) {
+  if (!Read)
+    throw json::other_error::create(501, "command without content", nullptr);
+  return std::move(*Read);
+}
+
 std::optional<LogIndex> readIndex(const json &Value) {
   if (Value.is_null())
     return std::nullopt;
@@ -240,9 +290,9 @@
 RegistryCommand readCommand(const json &Value) {
   switch (tagOf(Value)) {
   case Tag::StoredDocument:
-    return readDocument(Value.at(1)).value();
+    return required(readDocument(Value.at(1)));
   case Tag::DocumentDelta:
-    return readDelta(Value.at(1)).value();
+    return required(readDelta(Value.at(1)));
   case Tag::StoreInstance:
     return StoreInstance{readInstance(Value.at(1))};
   case Tag::RemoveInstance:
--- /dev/null
+++ b/Tests/LibWire/TestRegistryCodec.cpp
@@ -0,0 +1,63 @@
+#include <LibWire/RegistryCodec.h>
+
+#include <Support/CaseName.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace jaybridge {
+namespace {
+
+using nlohmann::json;
+
+std::string cborOf(const json &Value) {
+  std::string Bytes;
+  json::to_cbor(Value, Bytes);
+  return Bytes;
+}
+
+/// The CBOR head of a list with one element, again and again.
+std::string nestedLists(std::size_t Depth) {
+  return std::string(Depth, '\x81');
+}
+
+constexpr unsigned StoredDocumentTag = 7;
+constexpr unsigned StoreInstanceTag = 8;
+constexpr unsigned DocumentDeltaTag = 10;
+
+struct DamagedCase {
+  const char *Name_;
+  std::string Bytes_;
+};
+
+class DamagedRegistryMessageTest : public testing::TestWithParam<DamagedCase> {
+};
+
+// Guards against a daemon that ends again and again because of one damaged
+// message, command or snapshot.
+TEST_P(DamagedRegistryMessageTest, IsReported) {
+  const std::string &Bytes = GetParam().Bytes_;
+  auto Command = RegistryWireCodec::decodeCommand(Bytes);
+  ASSERT_FALSE(Command);
+  EXPECT_EQ(Command.error().Code_, ErrorCode::Damaged);
+  EXPECT_FALSE(RegistryWireCodec::decodeState(Bytes));
+  EXPECT_FALSE(decodeSubscriptionMessage(Bytes));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Contents, DamagedRegistryMessageTest,
+    testing::Values(
+        DamagedCase{"Empty", ""},
+        DamagedCase{"NoDocument",
+                    cborOf(json::array({StoredDocumentTag, nullptr}))},
+        DamagedCase{"NoDelta",
+                    cborOf(json::array({DocumentDeltaTag, nullptr}))},
+        DamagedCase{"UnknownState",
+                    cborOf(json::array({StoreInstanceTag,
+                                        json::array({"i", "s", "10.0.0.1", 80,
+                                                     "d", 4, 9, 1})}))},
+        DamagedCase{"Nested", nestedLists(1'000'000)}),
+    CaseName());
+
+} // namespace
+} // namespace jaybridge
