LibExchange: Refuse crashing requests with 503

What callers saw: a request that ends instances was refused with 422, while its outcome is not-run and all other refusals of that outcome are 503. Platforms for which only some statuses promise not-run take 422 for a failure of the caller.

Change: the status follows from the outcome, as for other reasons.

--- a/Libraries/LibExchange/Answer.cpp
+++ b/Libraries/LibExchange/Answer.cpp
@@ -82,7 +82,6 @@
   case RefusalReason::KeyInvalid:
     return BadRequest;
   case RefusalReason::KeyReused:
-  case RefusalReason::CrashesUpstreams:
     return Unprocessable;
   case RefusalReason::BodyTooLarge:
     return ContentTooLarge;
