LibRegistry: Quarantine requests that end instances in the whole fleet

Cause: with the gateway duty nothing connects the losses of equal requests. Each copy is new to its gateway, which stops after two losses of that copy. Class: a limit that is kept per item or per process, although the harm adds up over the fleet. The quarantine of LibDetection exists in daemons with all duties only.

Evidence: 20 copies ended 30 (safe) and 20 (unsafe) instance starts; unsafe copies are never retried, which rules out the pool of retries; no refusal said crashes-upstreams, which rules out a late quarantine.

Change: gateways report which requests were lost at which instance. The leader suspects a request that was lost at three or more instance starts, so often that a proper request would be lost as often by chance in at most one of 10,000 cases; the chance is the share of attempts at the service that were lost lately. A gateway that got the request answered within a minute objects. Without an objection it is quarantined after 700 ms for ten minutes, and again after one further loss. Losses that it explains count against no other request. While a request is suspected it is not sent to a second instance. Followers keep the list, so that a new leader goes on with it. Messages get two lists only if they are not empty; earlier versions skip them.

FleetEvidence holds what ControlService kept in four members.

--- a/Libraries/LibRegistry/ControlMessages.h
+++ b/Libraries/LibRegistry/ControlMessages.h
@@ -89,9 +89,15 @@
   std::vector<InstanceId> EjectedInstances_;
 };
 
+/// The lists of requests that end instances changed.
+struct RequestVerdictsChanged {
+  RequestVerdicts Verdicts_;
+};
+
 using ControlEffect =
     std::variant<SendReplication, PersistLog, MemberStopped, SendSubscription,
                  NotifySubscribers, ControlRequestAnswered, LeaderChanged,
-                 RegistryCommandApplied, EjectedInstancesChanged>;
+                 RegistryCommandApplied, EjectedInstancesChanged,
+                 RequestVerdictsChanged>;
 
 } // namespace jaybridge
--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -2,8 +2,8 @@
 
 #include <LibRegistry/ControlMessages.h>
 #include <LibRegistry/ControlSettings.h>
+#include <LibRegistry/FleetEvidence.h>
 #include <LibRegistry/MemberDomains.h>
-#include <LibRegistry/OutlierDetector.h>
 #include <LibRegistry/RetryPool.h>
 #include <LibRegistry/ServiceRegistry.h>
 #include <LibRegistry/SubscriberTable.h>
@@ -173,11 +173,11 @@
                    },
                    [&](const AttemptReport &Report) {
                      grantRetries(Received.From_, Report, Out);
-                     recordAttempts(Report.Instances_, Now, Out);
+                     recordAttempts(Report, Now, Out);
                    },
                    [&](const FollowerReport &Report) {
                      Domains_.setDomain({Received.From_, Report.Domain_});
-                     recordAttempts(Report.Instances_, Now, Out);
+                     recordAttempts(Report, Now, Out);
                    },
                    [&](const LeaderUpdate &Update) {
                      if (Log_.leader() == Received.From_)
@@ -202,7 +202,7 @@
         !Subscribers_.renew(From, Request.Revision_, Now))
       return;
     if (Request.Revision_ == Revision_ && Revision_ > LogIndex()) {
-      RegistryHeartbeat Heartbeat{Revision_, EjectedInstances_, {}};
+      RegistryHeartbeat Heartbeat = heartbeat();
       std::vector<ControlMember> Members = members();
       if (Request.Members_ != digestOf(Members))
         Heartbeat.Members_ = std::move(Members);
@@ -245,17 +245,14 @@
       send(From, std::move(Grant), Out);
   }
 
-  void recordAttempts(const std::vector<AttemptCounts> &Attempts, TimePoint Now,
-                      Effects &Out) {
-    bool HasFailure = false;
-    for (const AttemptCounts &Counts : Attempts) {
-      OutlierDetector_.record(Counts, Now);
-      AttemptCounts &Sum = UnreportedAttempts_[Counts.Id_];
-      Sum.Id_ = Counts.Id_;
-      Sum += Counts;
-      HasFailure = HasFailure || Counts.hasFailure();
-    }
-    if (HasFailure)
+  RegistryHeartbeat heartbeat() const {
+    return {Revision_, EjectedInstances_, {}, RequestVerdicts_};
+  }
+
+  /// Report is an AttemptReport or a FollowerReport.
+  template <typename Report>
+  void recordAttempts(const Report &Received, TimePoint Now, Effects &Out) {
+    if (Evidence_.record(Received.Instances_, Received.Requests_, Now))
       report(Now, Out);
   }
 
@@ -265,6 +262,30 @@
     for (const ControlMember &Member : Update.Members_)
       Domains_.setDomain(Member);
     setEjectedInstances(Update.EjectedInstances_, Now, Out);
+    Evidence_.adopt(Update.Requests_, Now);
+    setRequestVerdicts(Update.Requests_, Now, Out);
+  }
+
+  void setRequestVerdicts(const RequestVerdicts &Verdicts, TimePoint Now,
+                          Effects &Out) {
+    if (Verdicts == RequestVerdicts_)
+      return;
+    RequestVerdicts_ = Verdicts;
+    Out.emplace_back(RequestVerdictsChanged{RequestVerdicts_});
+    sendHeartbeatEarly(Now);
+  }
+
+  /// Sends changes in quick succession together.
+  void sendHeartbeatEarly(TimePoint Now) {
+    NextHeartbeat_ = std::min(
+        NextHeartbeat_,
+        std::max(Now, LastHeartbeatAt_ + Settings_.MinNotificationInterval_));
+  }
+  void notifyFollowersEarly(TimePoint Now) {
+    NextLeaderUpdate_ =
+        std::min(NextLeaderUpdate_,
+                 std::max(Now, LastLeaderUpdateAt_ +
+                                   Settings_.MinNotificationInterval_));
   }
 
   void setEjectedInstances(std::vector<InstanceId> Ejected, TimePoint Now,
@@ -276,12 +297,9 @@
                        Ejected.begin(), Ejected.end());
     EjectedInstances_ = std::move(Ejected);
     Out.emplace_back(EjectedInstancesChanged{EjectedInstances_});
-    // The end of an ejection can wait for the next regular heartbeat. New
-    // ejections are sent early, those in quick succession together.
+    // The end of an ejection can wait for the next regular heartbeat.
     if (HasNewEjection)
-      NextHeartbeat_ = std::min(
-          NextHeartbeat_,
-          std::max(Now, LastHeartbeatAt_ + Settings_.MinNotificationInterval_));
+      sendHeartbeatEarly(Now);
   }
 
   void notifySubscribers(TimePoint Now, Effects &Out) {
@@ -292,8 +310,7 @@
     for (const auto &[Id, Subscriber] : Subscribers_.all())
       Notification.To_.push_back(Id);
     if (WasCurrent_)
-      Notification.Message_ =
-          RegistryHeartbeat{Revision_, EjectedInstances_, {}};
+      Notification.Message_ = heartbeat();
     else
       Notification.Message_ = RegistryStale{};
     Out.emplace_back(std::move(Notification));
@@ -306,33 +323,37 @@
     if (!Log_.isLeader() &&
         Now > LeaderUpdateReceivedAt_ + 3 * Settings_.ReportInterval_)
       EjectedInstances_.clear();
-    if (Log_.isLeader())
+    if (Log_.isLeader()) {
       updateEjections(Now, Out);
+      updateRequestVerdicts(Now, Out);
+    }
     notifySubscribers(Now, Out);
   }
 
   /// On a follower, reports the attempts since the last report to the leader;
-  /// on the leader, updates the ejections.
+  /// on the leader, updates its decisions.
   void report(TimePoint Now, Effects &Out) {
     NextReport_ = Now + Settings_.ReportInterval_;
     if (Log_.isLeader()) {
-      UnreportedAttempts_.clear();
       updateEjections(Now, Out);
+      updateRequestVerdicts(Now, Out);
       return;
     }
-    if (!Log_.leader())
+    if (Log_.leader())
+      send(*Log_.leader(), Evidence_.takeReport(Settings_.Domain_), Out);
+  }
+
+  void updateRequestVerdicts(TimePoint Now, Effects &Out) {
+    const RequestVerdicts Verdicts = Evidence_.decideRequests(Registry_, Now);
+    if (Verdicts == RequestVerdicts_)
       return;
-    FollowerReport Report;
-    Report.Domain_ = Settings_.Domain_;
-    for (auto &[Id, Counts] : UnreportedAttempts_)
-      Report.Instances_.push_back(std::move(Counts));
-    UnreportedAttempts_.clear();
-    send(*Log_.leader(), std::move(Report), Out);
+    setRequestVerdicts(Verdicts, Now, Out);
+    notifyFollowersEarly(Now);
   }
 
   void updateEjections(TimePoint Now, Effects &Out) {
     std::vector<InstanceId> Ejected =
-        OutlierDetector_.selectEjected(Registry_, Settings_.Floor_, Now);
+        Evidence_.selectEjected(Registry_, Settings_.Floor_, Now);
     if (Ejected == EjectedInstances_)
       return;
     bool HasNewEjection =
@@ -340,10 +361,7 @@
                        Ejected.begin(), Ejected.end());
     setEjectedInstances(std::move(Ejected), Now, Out);
     if (HasNewEjection)
-      NextLeaderUpdate_ =
-          std::min(NextLeaderUpdate_,
-                   std::max(Now, LastLeaderUpdateAt_ +
-                                     Settings_.MinNotificationInterval_));
+      notifyFollowersEarly(Now);
   }
 
   void notifyFollowers(TimePoint Now, Effects &Out) {
@@ -351,7 +369,8 @@
     LastLeaderUpdateAt_ = Now;
     for (const Voter &Member : Log_.members().Voters_)
       if (Member.Id_ != Settings_.Self_)
-        send(Member.Id_, LeaderUpdate{EjectedInstances_, members()}, Out);
+        send(Member.Id_,
+             LeaderUpdate{EjectedInstances_, members(), RequestVerdicts_}, Out);
   }
 
   std::vector<ControlMember> members() const {
@@ -456,7 +475,7 @@
     // The outcomes of an instance are discarded when it restarts or leaves.
     for (const InstanceRecord &Record : Change.Instances_)
       if (Record.State_ != InstanceState::Draining)
-        OutlierDetector_.forget(Record.Id_);
+        Evidence_.forget(Record.Id_);
     RegistryUpdate Update;
     Update.BaseRevision_ = BaseRevision;
     Update.Revision_ = Revision;
@@ -493,15 +512,14 @@
   /// Gateways without any data that subscribed while this member was not
   /// current.
   std::map<MemberId, PendingSubscriber> PendingSubscribers_;
-  OutlierDetector OutlierDetector_;
+  FleetEvidence Evidence_;
   std::vector<InstanceId> EjectedInstances_;
+  RequestVerdicts RequestVerdicts_;
   TimePoint LeaderUpdateReceivedAt_{};
   /// Whether this member was current at the last heartbeat.
   bool WasCurrent_ = false;
   MemberDomains Domains_;
   RetryPool Retries_;
-  /// Attempts that have not been reported to the leader.
-  std::map<InstanceId, AttemptCounts> UnreportedAttempts_;
   std::map<ProposalId, PendingChange> PendingChanges_;
   /// The newest document in the log, whether committed or not.
   std::optional<StoredDocument> NewestDocument_;
--- a/Libraries/LibRegistry/RegistrySubscription.cpp
+++ b/Libraries/LibRegistry/RegistrySubscription.cpp
@@ -1,6 +1,7 @@
 #include <LibRegistry/RegistrySubscription.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace jaybridge {
 
@@ -9,6 +10,14 @@
 /// Time for which ejections apply unless a heartbeat renews them.
 constexpr Duration EjectionLifetime = 3s;
 
+/// Maximum lost requests in a report; more of them say nothing more about
+/// single requests.
+constexpr std::size_t MaxLostRequests = 256;
+
+bool contains(const std::vector<Fingerprint> &List, Fingerprint Request) {
+  return std::find(List.begin(), List.end(), Request) != List.end();
+}
+
 /// Counts the outcome of one attempt; none if it doesn't indicate the health of
 /// the instance.
 std::optional<AttemptCounts> countAttempt(const ReportAttempt &Attempt) {
@@ -212,6 +221,7 @@
   if (!Heartbeat.Members_.empty())
     Members_ = Heartbeat.Members_;
   applyEjections(Heartbeat.EjectedInstances_, Now, Out);
+  applyVerdicts(Heartbeat.Requests_, Now, Out);
 }
 
 void RegistrySubscriptionState::handleStale(const MemberId &From, TimePoint Now,
@@ -240,24 +250,63 @@
   EjectedInstances_ = std::move(ByService);
 }
 
+void RegistrySubscriptionState::applyVerdicts(const RequestVerdicts &Verdicts,
+                                              TimePoint Now, Effects &Out) {
+  if (Verdicts == RequestVerdicts_)
+    return;
+  FingerprintsQuarantined Changed{Verdicts.Quarantined_};
+  for (Fingerprint Suspected : Verdicts.Suspected_) {
+    if (!RecentAnswers_.contains(Suspected, Now)) {
+      Changed.Suspected_.push_back(Suspected);
+    } else if (!contains(RequestVerdicts_.Suspected_, Suspected)) {
+      RequestEvidence_.Answered_.push_back(Suspected);
+      scheduleReport(Settings_.FailureReportDelay_, Now);
+    }
+  }
+  RequestVerdicts_ = Verdicts;
+  Out.emplace_back(std::move(Changed));
+}
+
+void RegistrySubscriptionState::scheduleReport(Duration Delay, TimePoint Now) {
+  const TimePoint Due = Now + Delay;
+  NextReport_ = NextReport_ ? std::min(*NextReport_, Due) : Due;
+}
+
+void RegistrySubscriptionState::recordRequest(const ReportAttempt &Attempt,
+                                              TimePoint Now) {
+  const Fingerprint Request = Attempt.Fingerprint_;
+  if (isConnectionCut(Attempt.Result_) &&
+      RequestEvidence_.Lost_.size() < MaxLostRequests)
+    RequestEvidence_.Lost_.push_back(LostRequest{Attempt.Instance_, Request});
+  if (Attempt.Result_ != AttemptResult::Answered)
+    return;
+  RecentAnswers_.add(Request, Now);
+  const bool IsListed = contains(RequestVerdicts_.Suspected_, Request) ||
+                        contains(RequestVerdicts_.Quarantined_, Request);
+  if (!IsListed || contains(RequestEvidence_.Answered_, Request))
+    return;
+  RequestEvidence_.Answered_.push_back(Request);
+  scheduleReport(Settings_.FailureReportDelay_, Now);
+}
+
 void RegistrySubscriptionState::recordAttempt(const ReportAttempt &Attempt,
                                               TimePoint Now) {
+  recordRequest(Attempt, Now);
   std::optional<AttemptCounts> Counts = countAttempt(Attempt);
   if (!Counts)
     return;
   AttemptCounts &Sum = Attempts_[Attempt.Instance_];
   Sum.Id_ = Attempt.Instance_;
   Sum += *Counts;
-  TimePoint Due = Now + (Counts->hasFailure() ? Settings_.FailureReportDelay_
-                                              : Settings_.SuccessReportDelay_);
-  NextReport_ = NextReport_ ? std::min(*NextReport_, Due) : Due;
+  scheduleReport(Counts->hasFailure() ? Settings_.FailureReportDelay_
+                                      : Settings_.SuccessReportDelay_,
+                 Now);
 }
 
 void RegistrySubscriptionState::recordRetrySpent(const ReportRetry &Spent,
                                                  TimePoint Now) {
   SpentRetries_[Spent.Service_] += EventCount(1);
-  TimePoint Due = Now + Settings_.FailureReportDelay_;
-  NextReport_ = NextReport_ ? std::min(*NextReport_, Due) : Due;
+  scheduleReport(Settings_.FailureReportDelay_, Now);
 }
 
 void RegistrySubscriptionState::acceptGrant(const RetriesGranted &Grant,
@@ -283,6 +332,7 @@
   for (auto &[Id, Sum] : Attempts_)
     Report.Instances_.push_back(std::move(Sum));
   Attempts_.clear();
+  Report.Requests_ = std::exchange(RequestEvidence_, {});
   // Spent retries are reported until they are replaced: the pool may be empty,
   // or the gateway may switch to another member.
   for (const auto &[Name, Count] : SpentRetries_)
--- a/Libraries/LibRegistry/RegistrySubscription.h
+++ b/Libraries/LibRegistry/RegistrySubscription.h
@@ -3,6 +3,7 @@
 #include <LibCore/DecisionRole.h>
 #include <LibCore/Random.h>
 #include <LibCore/Result.h>
+#include <LibRegistry/RecentAnswers.h>
 #include <LibRegistry/SubscriptionMessages.h>
 #include <LibRouting/GatewayMessages.h>
 
@@ -45,7 +46,8 @@
     std::variant<SubscriptionReceived, ReportAttempt, ReportRetry>;
 using RegistrySubscriptionEffect =
     std::variant<SendSubscription, RoutingChanged, InstanceChanged,
-                 EjectionsChanged, RetriesGranted, ControlMemberChanged>;
+                 EjectionsChanged, FingerprintsQuarantined, RetriesGranted,
+                 ControlMemberChanged>;
 
 /// Parses the text of a configuration into its routing table.
 template <typename Reader>
@@ -98,6 +100,12 @@
   void sendReport(Effects &Out);
   void applyEjections(const std::vector<InstanceId> &Ejected, TimePoint Now,
                       Effects &Out);
+  void applyVerdicts(const RequestVerdicts &Verdicts, TimePoint Now,
+                     Effects &Out);
+  /// Keeps what the attempt says about its request for the next report.
+  void recordRequest(const ReportAttempt &Attempt, TimePoint Now);
+  /// Sends the next report after at most this delay.
+  void scheduleReport(Duration Delay, TimePoint Now);
   /// Returns the known members and seeds, the preferred one last.
   std::vector<MemberId> candidates();
   /// Returns the number of leading address parts that a member shares with this
@@ -122,6 +130,9 @@
   std::map<ServiceName, std::vector<InstanceId>> EjectedInstances_;
   std::map<InstanceId, AttemptCounts> Attempts_;
   std::map<ServiceName, EventCount> SpentRetries_;
+  RequestEvidence RequestEvidence_;
+  RequestVerdicts RequestVerdicts_;
+  RecentAnswers RecentAnswers_;
   std::optional<TimePoint> NextReport_;
 };
 
--- a/Libraries/LibRegistry/SubscriptionMessages.h
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -60,6 +60,39 @@
   }
 };
 
+/// An attempt whose connection ended before the complete response, as it does
+/// when the instance ends.
+struct LostRequest {
+  InstanceId Instance_;
+  Fingerprint Fingerprint_;
+
+  friend bool operator==(const LostRequest &, const LostRequest &) = default;
+};
+
+/// What gateways know about requests that may end instances.
+struct RequestEvidence {
+  std::vector<LostRequest> Lost_;
+  /// Listed requests that an instance has answered.
+  std::vector<Fingerprint> Answered_;
+
+  bool isEmpty() const { return Lost_.empty() && Answered_.empty(); }
+  friend bool operator==(const RequestEvidence &,
+                         const RequestEvidence &) = default;
+};
+
+/// The requests that end instances, as the leader of the control members finds
+/// them.
+struct RequestVerdicts {
+  /// Gateways object to a suspicion when they got the request answered.
+  std::vector<Fingerprint> Suspected_;
+  /// Gateways refuse these requests.
+  std::vector<Fingerprint> Quarantined_;
+
+  bool isEmpty() const { return Suspected_.empty() && Quarantined_.empty(); }
+  friend bool operator==(const RequestVerdicts &,
+                         const RequestVerdicts &) = default;
+};
+
 // Messages from a gateway to a control member.
 
 /// Requests the registry and its changes after a revision; repeated to renew
@@ -76,6 +109,7 @@
   std::vector<AttemptCounts> Instances_;
   /// Retries that were spent and not replaced yet.
   std::vector<RetryCount> SpentRetries_;
+  RequestEvidence Requests_{};
 };
 
 // Messages from a control member to a gateway.
@@ -100,6 +134,7 @@
   std::vector<InstanceId> EjectedInstances_;
   /// Omitted if the receiver has the same list.
   std::vector<ControlMember> Members_;
+  RequestVerdicts Requests_{};
 };
 
 /// The sender lost contact with the leader; its registry may be stale.
@@ -107,18 +142,18 @@
 
 // Messages between control members.
 
-/// The attempts that were reported to a follower, for the leader's ejection
-/// decisions.
+/// The attempts that were reported to a follower, for the leader's decisions.
 struct FollowerReport {
   FailureDomain Domain_;
   std::vector<AttemptCounts> Instances_;
+  RequestEvidence Requests_{};
 };
 
-/// The leader's ejection decisions, which its followers pass on to their
-/// subscribers.
+/// The leader's decisions, which its followers pass on to their subscribers.
 struct LeaderUpdate {
   std::vector<InstanceId> EjectedInstances_;
   std::vector<ControlMember> Members_;
+  RequestVerdicts Requests_{};
 };
 
 using SubscriptionMessage =
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -183,7 +183,7 @@
 
 void Gateway::on(const FingerprintsQuarantined &Incoming, TimePoint /*Now*/,
                  Effects & /*Out*/) {
-  Dispatcher_.quarantine(Incoming.Fingerprints_);
+  Dispatcher_.quarantine(Incoming);
 }
 
 void Gateway::on(const ClaimDecided &Incoming, TimePoint Now, Effects &Out) {
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -72,6 +72,9 @@
 /// instances that run them.
 struct FingerprintsQuarantined {
   std::vector<Fingerprint> Fingerprints_;
+  /// Requests that may crash instances. They are sent to an instance, but not
+  /// to a second one after the first was lost.
+  std::vector<Fingerprint> Suspected_{};
 };
 
 struct ClaimGranted {};
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -124,9 +124,11 @@
     service(Policy.Service_).setPolicy(Policy);
 }
 
-void RequestDispatcher::quarantine(
-    const std::vector<Fingerprint> &Fingerprints) {
-  QuarantinedFingerprints_ = {Fingerprints.begin(), Fingerprints.end()};
+void RequestDispatcher::quarantine(const FingerprintsQuarantined &Changed) {
+  QuarantinedFingerprints_ = {Changed.Fingerprints_.begin(),
+                              Changed.Fingerprints_.end()};
+  SuspectedFingerprints_ = {Changed.Suspected_.begin(),
+                            Changed.Suspected_.end()};
 }
 
 RequestExecution *RequestDispatcher::find(const RequestId &Id) {
@@ -305,7 +307,10 @@
   // The retry budget protects the service from extra load; an attempt that
   // could not connect caused none.
   bool IsExemptFromBudget = AttemptEnd.Result_ == AttemptResult::ConnectFailed;
-  if (IsInTime && Execution.canDispatch() &&
+  bool MayHaveCrashed =
+      isConnectionCut(AttemptEnd.Result_) &&
+      SuspectedFingerprints_.contains(Execution.fingerprint());
+  if (IsInTime && !MayHaveCrashed && Execution.canDispatch() &&
       (IsExemptFromBudget || service(Name).budget().withdrawRetry())) {
     if (!IsExemptFromBudget)
       Out.emplace_back(ReportRetry{Name});
--- a/Libraries/LibRouting/RequestDispatcher.h
+++ b/Libraries/LibRouting/RequestDispatcher.h
@@ -32,7 +32,7 @@
     for (const RetryCount &Grant : Granted.Retries_)
       service(Grant.Service_).budget().refill(Grant.Retries_);
   }
-  void quarantine(const std::vector<Fingerprint> &Fingerprints);
+  void quarantine(const FingerprintsQuarantined &Changed);
 
   RequestExecution *find(const RequestId &Id);
   std::size_t requestCount() const { return Requests_.size(); }
@@ -97,6 +97,7 @@
   AdmissionQueue Queue_;
   PowerOfTwoChoices Selector_;
   std::set<Fingerprint> QuarantinedFingerprints_;
+  std::set<Fingerprint> SuspectedFingerprints_;
   std::map<ServiceName, ServiceRouter> Services_;
   std::map<RequestId, RequestExecution> Requests_;
   AttemptTable Attempts_;
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -163,6 +163,19 @@
           Incarnation(Value.at(1).get<std::uint64_t>())};
 }
 
+json write(Fingerprint Request) { return Request.value(); }
+Fingerprint readFingerprint(const json &Value) {
+  return Fingerprint(Value.get<std::uint64_t>());
+}
+
+json write(const LostRequest &Lost) {
+  return json::array({Lost.Instance_.text(), Lost.Fingerprint_.value()});
+}
+LostRequest readLostRequest(const json &Value) {
+  return {InstanceId(Value.at(0).get<std::string>()),
+          readFingerprint(Value.at(1))};
+}
+
 template <typename Item> json writeAll(const std::vector<Item> &Items) {
   json List = json::array();
   for (const Item &Element : Items)
@@ -177,6 +190,38 @@
   return Items;
 }
 
+/// Adds both lists to a message unless they are empty, as they usually are.
+template <typename Lists, typename First, typename Second>
+void appendUnlessEmpty(json &Message, const Lists &Value, First Lists::*One,
+                       Second Lists::*Other) {
+  if (Value.isEmpty())
+    return;
+  Message.push_back(writeAll(Value.*One));
+  Message.push_back(writeAll(Value.*Other));
+}
+void append(json &Message, const RequestEvidence &Evidence) {
+  appendUnlessEmpty(Message, Evidence, &RequestEvidence::Lost_,
+                    &RequestEvidence::Answered_);
+}
+void append(json &Message, const RequestVerdicts &Verdicts) {
+  appendUnlessEmpty(Message, Verdicts, &RequestVerdicts::Suspected_,
+                    &RequestVerdicts::Quarantined_);
+}
+/// Reads the lists that start at an index of the message; earlier versions of
+/// the protocol do not send them.
+RequestEvidence readEvidence(const json &Message, std::size_t Index) {
+  if (Message.size() <= Index)
+    return {};
+  return {readAll(Message.at(Index), readLostRequest),
+          readAll(Message.at(Index + 1), readFingerprint)};
+}
+RequestVerdicts readVerdicts(const json &Message, std::size_t Index) {
+  if (Message.size() <= Index)
+    return {};
+  return {readAll(Message.at(Index), readFingerprint),
+          readAll(Message.at(Index + 1), readFingerprint)};
+}
+
 /// Shorter text gains little from compression.
 constexpr std::size_t MinCompressedLength = 512;
 
@@ -260,7 +305,8 @@
         MemberListDigest(Value.at(3).get<std::uint64_t>())};
   case Tag::AttemptReport:
     return AttemptReport{readAll(Value.at(1), readAttemptCounts),
-                         readAll(Value.at(2), readRetryCount)};
+                         readAll(Value.at(2), readRetryCount),
+                         readEvidence(Value, 3)};
   case Tag::RegistryStale:
     return RegistryStale{};
   case Tag::RetriesGranted:
@@ -275,13 +321,16 @@
   case Tag::RegistryHeartbeat:
     return RegistryHeartbeat{LogIndex(Value.at(1).get<std::uint64_t>()),
                              readAll(Value.at(2), readInstanceId),
-                             readAll(Value.at(3), readMember)};
+                             readAll(Value.at(3), readMember),
+                             readVerdicts(Value, 4)};
   case Tag::FollowerReport:
     return FollowerReport{FailureDomain(Value.at(1).get<std::string>()),
-                          readAll(Value.at(2), readAttemptCounts)};
+                          readAll(Value.at(2), readAttemptCounts),
+                          readEvidence(Value, 3)};
   case Tag::LeaderUpdate:
     return LeaderUpdate{readAll(Value.at(1), readInstanceId),
-                        readAll(Value.at(2), readMember)};
+                        readAll(Value.at(2), readMember),
+                        readVerdicts(Value, 3)};
   default:
     throw json::other_error::create(501, "unknown kind of message", nullptr);
   }
@@ -319,6 +368,7 @@
             json List = taggedArray(Tag::AttemptReport);
             List.push_back(writeAll(Report.Instances_));
             List.push_back(writeAll(Report.SpentRetries_));
+            append(List, Report.Requests_);
             return List;
           },
           [](const RegistryStale &) { return taggedArray(Tag::RegistryStale); },
@@ -344,18 +394,21 @@
             List.push_back(Heartbeat.Revision_.value());
             List.push_back(writeAll(Heartbeat.EjectedInstances_));
             List.push_back(writeAll(Heartbeat.Members_));
+            append(List, Heartbeat.Requests_);
             return List;
           },
           [](const FollowerReport &Report) {
             json List = taggedArray(Tag::FollowerReport);
             List.push_back(Report.Domain_.text());
             List.push_back(writeAll(Report.Instances_));
+            append(List, Report.Requests_);
             return List;
           },
           [](const LeaderUpdate &Update) {
             json List = taggedArray(Tag::LeaderUpdate);
             List.push_back(writeAll(Update.EjectedInstances_));
             List.push_back(writeAll(Update.Members_));
+            append(List, Update.Requests_);
             return List;
           },
       },
--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -171,6 +171,13 @@
               Names += (Names.empty() ? "" : ",") + Instance.text();
             Log_.write(LogLevel::Info, "suspects", {{"instances", Names}});
           },
+          [this](const RequestVerdictsChanged &Changed) {
+            Log_.write(
+                LogLevel::Info, "crashing-requests",
+                {{"suspected", fingerprintList(Changed.Verdicts_.Suspected_)},
+                 {"quarantined",
+                  fingerprintList(Changed.Verdicts_.Quarantined_)}});
+          },
           [this](const MemberStopped &Stopped) { handleStopped(Stopped); },
           [](const PersistLog &) {},
       },
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -225,6 +225,13 @@
   RequestPath_->post(std::move(Changed));
 }
 
+void GatewayDaemon::apply(FingerprintsQuarantined &Changed) {
+  Log_.write(LogLevel::Info, "crashing-requests",
+             {{"suspected", fingerprintList(Changed.Suspected_)},
+              {"quarantined", fingerprintList(Changed.Fingerprints_)}});
+  RequestPath_->post(std::move(Changed));
+}
+
 void GatewayDaemon::apply(RetriesGranted &Granted) {
   for (const RetryCount &ServiceRetries : Granted.Retries_)
     Log_.write(LogLevel::Info, "retries-granted",
--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -46,6 +46,7 @@
   void apply(RoutingChanged &Changed);
   void apply(InstanceChanged &Changed);
   void apply(EjectionsChanged &Changed);
+  void apply(FingerprintsQuarantined &Changed);
   void apply(RetriesGranted &Granted);
   void apply(const ControlMemberChanged &Changed);
   void logRequestStep(const RecordStep &Step);
--- a/Services/jaybridged/RegistryPeers.cpp
+++ b/Services/jaybridged/RegistryPeers.cpp
@@ -17,6 +17,13 @@
 
 } // namespace
 
+std::string fingerprintList(const std::vector<Fingerprint> &Fingerprints) {
+  std::string List;
+  for (Fingerprint Listed : Fingerprints)
+    List += (List.empty() ? "" : ",") + std::to_string(Listed.value());
+  return List;
+}
+
 Status RegistryPeers::start(const Settings &DaemonSettings) {
   JAYBRIDGE_TRY(AccessToken Token, peerToken(DaemonSettings));
   PeerTransportOptions Options{.Token_ = std::move(Token)};
--- a/Services/jaybridged/RegistryPeers.h
+++ b/Services/jaybridged/RegistryPeers.h
@@ -54,4 +54,7 @@
   std::set<MemberId> MembersWithAddress_;
 };
 
+/// Fingerprints separated by commas, for log lines.
+std::string fingerprintList(const std::vector<Fingerprint> &Fingerprints);
+
 } // namespace jaybridge
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -240,6 +240,9 @@
             [&](ControlMemberChanged &Changed) {
               Updated.FollowedMember_ = Changed.Member_;
             },
+            [&](FingerprintsQuarantined &Changed) {
+              Updated.CrashingRequests_ = std::move(Changed);
+            },
             [&](RetriesGranted &Granted) {
               for (const RetryCount &Count : Granted.Retries_)
                 Updated.RetriesGranted_ += Count.Retries_;
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -82,6 +82,7 @@
     std::map<InstanceId, InstanceState> Instances_;
     std::optional<MemberId> FollowedMember_;
     EventCount RetriesGranted_;
+    FingerprintsQuarantined CrashingRequests_;
   };
   const View &view(std::size_t Index) const { return Views_[Index]; }
 
--- a/Tests/LibRegistry/TestRegistryFleet.cpp
+++ b/Tests/LibRegistry/TestRegistryFleet.cpp
@@ -239,5 +239,89 @@
   EXPECT_TRUE(Fleet_.control(Added)->log().isVoter());
 }
 
+/// Three gateways lose a request at three instances, one each.
+class CrashingRequestsTest : public RegistryFleetTest {
+protected:
+  void SetUp() override {
+    RegistryFleetTest::SetUp();
+    for (std::size_t Index = 0; Index < CrashCount; ++Index) {
+      InstanceRecord Added = instance();
+      Added.Id_ = crashed(Index);
+      Added.Address_ =
+          Endpoint::create("10.5.1.1",
+                           Port(static_cast<std::uint16_t>(Index + 1)))
+              .takeValue();
+      Fleet_.announce(Fleet_.leader(), Added);
+    }
+    Fleet_.run(500ms);
+  }
+  static InstanceId crashed(std::size_t Index) {
+    return InstanceId("crashed-" + std::to_string(Index));
+  }
+  void finish(std::size_t Gateway, const InstanceId &Instance,
+              AttemptResult Result) {
+    Fleet_.finishAttempt(Gateway, {ServiceName("s"), Instance, Result,
+                                   StatusCode(200), 10ms, Crashing});
+  }
+  void loseAtEachInstance() {
+    for (std::size_t Index = 0; Index < CrashCount; ++Index)
+      finish(Index, crashed(Index), AttemptResult::ConnectionLost);
+  }
+
+  static constexpr std::size_t CrashCount = 3;
+  static constexpr Fingerprint Crashing{7};
+  /// Time in which all gateways have to refuse the request.
+  static constexpr Duration AgreementTime = 3s;
+};
+
+// Guards against gateways that go on sending a request which ended instances at
+// other gateways, also after the leader that found it has stopped.
+TEST_F(CrashingRequestsTest, AreQuarantinedAtAllGateways) {
+  loseAtEachInstance();
+  Fleet_.run(AgreementTime);
+  for (std::size_t Index = 0; Index < GatewayCount; ++Index)
+    EXPECT_EQ(Fleet_.view(Index).CrashingRequests_.Fingerprints_,
+              std::vector<Fingerprint>{Crashing})
+        << "gateway " << Index;
+  Fleet_.stopMember(Fleet_.leader());
+  Fleet_.run(5s);
+  for (std::size_t Index = 0; Index < GatewayCount; ++Index)
+    EXPECT_EQ(Fleet_.view(Index).CrashingRequests_.Fingerprints_,
+              std::vector<Fingerprint>{Crashing})
+        << "gateway " << Index;
+}
+
+struct AnswerTimeCase {
+  const char *Name_;
+  bool IsAnsweredBefore_;
+};
+
+class AnsweredRequestTest : public CrashingRequestsTest,
+                            public testing::WithParamInterface<AnswerTimeCase> {
+};
+
+// Guards against the quarantine of a request that was in flight at instances
+// which ended for another reason, while another gateway gets it answered.
+TEST_P(AnsweredRequestTest, IsNotQuarantined) {
+  const std::size_t Other = CrashCount;
+  if (GetParam().IsAnsweredBefore_)
+    finish(Other, InstanceId("i"), AttemptResult::Answered);
+  loseAtEachInstance();
+  if (!GetParam().IsAnsweredBefore_) {
+    Fleet_.run(300ms);
+    finish(Other, InstanceId("i"), AttemptResult::Answered);
+  }
+  Fleet_.run(AgreementTime);
+  for (std::size_t Index = 0; Index < GatewayCount; ++Index)
+    EXPECT_TRUE(Fleet_.view(Index).CrashingRequests_.Fingerprints_.empty())
+        << "gateway " << Index;
+}
+
+INSTANTIATE_TEST_SUITE_P(Times, AnsweredRequestTest,
+                         testing::Values(AnswerTimeCase{"Before", true},
+                                         AnswerTimeCase{"WhileSuspected",
+                                                        false}),
+                         CaseName());
+
 } // namespace
 } // namespace jaybridge
--- a/Tests/LibRouting/TestGateway.cpp
+++ b/Tests/LibRouting/TestGateway.cpp
@@ -106,6 +106,37 @@
                                    StatusCode(), false, Outcome::Ran}),
     CaseName());
 
+struct SuspectedCase {
+  const char *Name_;
+  AttemptResult Result_;
+  bool IsRetried_;
+};
+
+class SuspectedRequestTest : public testing::TestWithParam<SuspectedCase> {};
+
+// Guards against a second instance that ends under a request which is suspected
+// of ending instances, and against refusing the request itself.
+TEST_P(SuspectedRequestTest, RunsAtOneInstance) {
+  GatewayHarness Harness(makeProfile(Repeatability::Repeatable));
+  Request Suspected;
+  Suspected.Service_ = ServiceName("s");
+  Suspected.Target_ = "/r";
+  Harness.handle(FingerprintsQuarantined{{}, {fingerprintOf(Suspected)}});
+  Harness.request("r");
+  const auto *Sent = Harness.last<SendAttempt>();
+  ASSERT_TRUE(Sent);
+  Harness.finish(Sent->Attempt_, makeOutcome(GetParam().Result_));
+  EXPECT_EQ(Harness.count<SendAttempt>(), GetParam().IsRetried_ ? 1 : 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Results, SuspectedRequestTest,
+    testing::Values(SuspectedCase{"Lost", AttemptResult::ConnectionLost, false},
+                    SuspectedCase{"CutShort", AttemptResult::ResponseTruncated,
+                                  false},
+                    SuspectedCase{"Shed", AttemptResult::RefusedNotRun, true}),
+    CaseName());
+
 struct RefusalCase {
   const char *Name_;
   bool HasKey_;
--- a/Tests/LibWire/TestRegistryCodec.cpp
+++ b/Tests/LibWire/TestRegistryCodec.cpp
@@ -59,5 +59,32 @@
         DamagedCase{"Nested", nestedLists(1'000'000)}),
     CaseName());
 
+const RequestEvidence Evidence{{{InstanceId("i"), Fingerprint(~0ULL)}},
+                               {Fingerprint(3)}};
+const RequestVerdicts Verdicts{{Fingerprint(1)}, {Fingerprint(~0ULL)}};
+
+// Guards against evidence about requests, or decisions about them, that change
+// or get lost between daemons.
+TEST(RegistryMessageTest, CarriesEvidenceAndVerdicts) {
+  auto Decode = [](const SubscriptionMessage &Message) {
+    return decodeSubscriptionMessage(encodeSubscriptionMessage(Message))
+        .takeValue();
+  };
+  AttemptReport Report;
+  Report.Requests_ = Evidence;
+  EXPECT_EQ(std::get<AttemptReport>(Decode(Report)).Requests_, Evidence);
+  FollowerReport OfFollower;
+  OfFollower.Requests_ = Evidence;
+  EXPECT_EQ(std::get<FollowerReport>(Decode(OfFollower)).Requests_, Evidence);
+  RegistryHeartbeat Heartbeat;
+  Heartbeat.Requests_ = Verdicts;
+  EXPECT_EQ(std::get<RegistryHeartbeat>(Decode(Heartbeat)).Requests_, Verdicts);
+  LeaderUpdate Update;
+  Update.Requests_ = Verdicts;
+  EXPECT_EQ(std::get<LeaderUpdate>(Decode(Update)).Requests_, Verdicts);
+  EXPECT_TRUE(std::get<RegistryHeartbeat>(Decode(RegistryHeartbeat{}))
+                  .Requests_.isEmpty());
+}
+
 } // namespace
 } // namespace jaybridge
