--- a/Tests/platform/DutyFleet.cpp
+++ b/Tests/platform/DutyFleet.cpp
@@ -9,7 +9,6 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 namespace jaybridge {
 
@@ -98,22 +97,8 @@
   return Text;
 }
 
-std::vector<std::string> DutyFleet::memberNames() const {
-  std::vector<std::string> Names;
-  for (std::size_t Index = 0; Index < MemberCount; ++Index)
-    Names.push_back("member-" + std::to_string(Index));
-  return Names;
-}
-
-std::vector<std::string> DutyFleet::gatewayNames() const {
-  std::vector<std::string> Names;
-  for (std::size_t Index = 0; Index < GatewayCount_; ++Index)
-    Names.push_back("gateway-" + std::to_string(Index));
-  return Names;
-}
-
 void DutyFleet::startControlMember(std::size_t Index) {
-  const std::string Name = memberNames()[Index];
+  const std::string Name = memberName(Index);
   Members_.emplace_back(
       JAYBRIDGED_PROGRAM,
       std::vector<std::string>{
@@ -129,7 +114,7 @@
 }
 
 void DutyFleet::startGateway(std::size_t Index) {
-  const std::string Name = gatewayNames()[Index];
+  const std::string Name = gatewayName(Index);
   const std::string Address = gatewayAddress(Index);
   Gateways_.emplace_back(
       JAYBRIDGED_PROGRAM,
@@ -260,11 +245,4 @@
   return ByteCount(Kilobytes * 1024);
 }
 
-std::string DutyFleet::logText(const std::string &Name) const {
-  std::ifstream File(Folder_ + "/" + Name + ".log");
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
 } // namespace jaybridge
--- a/Tests/platform/DutyFleet.h
+++ b/Tests/platform/DutyFleet.h
@@ -32,7 +32,6 @@
   [[nodiscard]] bool start();
   void addInstances(std::size_t Count, StandInInstance::Behaviour Respond);
   StandInInstance &instance(std::size_t Index) { return *Instances_[Index]; }
-  std::size_t instanceCount() const { return Instances_.size(); }
   /// Waits until each gateway gets a request to Path answered with 200.
   [[nodiscard]] bool waitUntilServing(const std::string &Path);
 
@@ -45,18 +44,20 @@
   /// answers finally. Returns the status.
   unsigned announce(const std::string &Id, const std::string &Body);
 
-  std::size_t gatewayCount() const { return Gateways_.size(); }
   /// Processes that have ended by themselves.
   std::size_t endedProcesses() const;
   /// Peak memory of a gateway.
   ByteCount peakMemoryOf(std::size_t Gateway) const;
-  std::string logText(const std::string &Name) const;
-  std::vector<std::string> gatewayNames() const;
-  std::vector<std::string> memberNames() const;
 
 private:
   static constexpr std::size_t MemberCount = 3;
 
+  static std::string memberName(std::size_t Index) {
+    return "member-" + std::to_string(Index);
+  }
+  static std::string gatewayName(std::size_t Index) {
+    return "gateway-" + std::to_string(Index);
+  }
   void startControlMember(std::size_t Index);
   void startGateway(std::size_t Index);
   bool writeConfiguration();
--- a/Tests/platform/TestConfigurationDocument.cpp
+++ b/Tests/platform/TestConfigurationDocument.cpp
@@ -44,6 +44,11 @@
         InvalidDocumentCase{"CutShort",
                             ValidDocument.substr(0, ValidDocument.size() - 5)},
         InvalidDocumentCase{"NotAnObject", "[]"},
+        InvalidDocumentCase{"NestedWithoutEnd", std::string(1'000'000, '[')},
+        InvalidDocumentCase{"NestedField",
+                            ValidDocument.substr(0, ValidDocument.size() - 1) +
+                                R"(,"More":)" + std::string(100'000, '[') +
+                                std::string(100'000, ']') + "}"},
         InvalidDocumentCase{"NoVersion", R"({"Routes":{},"Services":{}})"},
         InvalidDocumentCase{"UnknownService",
                             documentWithRoutes(routeWithFields(
--- a/Tests/platform/TestFaultyInstances.cpp
+++ b/Tests/platform/TestFaultyInstances.cpp
@@ -96,6 +96,7 @@
   EXPECT_EQ(LastStatus, 503U);
   EXPECT_GE(Served, Sends - 1) << "requests of others";
   RecordProperty("ended", static_cast<int>(Ends.size()));
+  RecordProperty("ended-after-agreement", static_cast<int>(LaterRuns));
 }
 
 INSTANTIATE_TEST_SUITE_P(
