--- a/Tests/Fakes/FakeUpstream.cpp
+++ b/Tests/Fakes/FakeUpstream.cpp
@@ -148,8 +148,7 @@
 void FakeUpstream::shed(const Task &Refused) {
   Shed_ += EventCount(1);
   std::vector<Header> Headers = {{OutcomeHeader, OutcomeNotRun}};
-  if (const Header *Id =
-          findHeader(Refused.Request_.Headers_, RequestIdHeader))
+  if (const Header *Id = findHeader(Refused.Request_.Headers_, RequestIdHeader))
     Headers.push_back({RequestIdHeader, Id->Value_});
   Refused.Session_->respond(StatusCode(503), std::move(Headers), "");
 }
--- a/Tests/LibHTTP/TestUpstreamClient.cpp
+++ b/Tests/LibHTTP/TestUpstreamClient.cpp
@@ -175,8 +175,8 @@
   AttemptResult Result_;
 };
 
-class RepeatedRefusalTest
-    : public testing::TestWithParam<RepeatedRefusalCase> {};
+class RepeatedRefusalTest : public testing::TestWithParam<RepeatedRefusalCase> {
+};
 
 // Guards against an earlier refusal that the upstream writes again on a kept
 // connection, in place of the response to a request that it runs.
@@ -192,8 +192,7 @@
   Fixture.send(Upstream.address(), "POST");
   KeptAlive->readMessage();
   KeptAlive->send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n" +
-                  GetParam().IdLine_ +
-                  "Jaybridge-Outcome: not-run\r\n\r\n");
+                  GetParam().IdLine_ + "Jaybridge-Outcome: not-run\r\n\r\n");
   EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_, GetParam().Result_);
 }
 
