Tests/LibHTTP: Cut responses at each byte

Reported by other operators: an instance that stopped in the head of its response led to a 200 with an empty or short body. Evidence: CutResponseTest closes the connection in order after each number of bytes, in four framings. The one byte that may be missing is the final line feed after the last chunk; the body is whole then. Change: the test only.

--- a/Tests/LibHTTP/TestUpstreamClient.cpp
+++ b/Tests/LibHTTP/TestUpstreamClient.cpp
@@ -267,6 +267,59 @@
   EXPECT_TRUE(Fixture.client().cancel(Sent));
 }
 
+struct CutCase {
+  const char *Name_;
+  std::string Whole_;
+  std::string Body_;
+  /// Bytes at the end that may be missing because they carry nothing.
+  std::size_t Dispensable_ = 0;
+};
+
+class CutResponseTest : public testing::TestWithParam<CutCase> {};
+
+// Guards against an upstream that stops anywhere in its response, within the
+// head too, and closes the connection in order: what has arrived must not count
+// as a response with a short or empty body.
+TEST_P(CutResponseTest, IsNotAnAnswerWhereverItEnds) {
+  ClientFixture Fixture;
+  const std::string &Whole = GetParam().Whole_;
+  for (std::size_t Length = 0; Length <= Whole.size(); ++Length) {
+    RawListener Upstream;
+    Fixture.send(Upstream.address(), "GET");
+    auto Connection = Upstream.accept();
+    ASSERT_TRUE(Connection);
+    Connection->readMessage();
+    Connection->send(Whole.substr(0, Length));
+    Connection->close();
+    const AttemptOutcome Ended = Fixture.nextFinished().Outcome_;
+    const bool IsAnswered = Ended.Result_ == AttemptResult::Answered;
+    EXPECT_EQ(IsAnswered, Length + GetParam().Dispensable_ >= Whole.size())
+        << Length << " bytes";
+    if (IsAnswered) {
+      EXPECT_EQ(*Ended.Response_.Body_, GetParam().Body_);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Framings, CutResponseTest,
+    testing::Values(
+        CutCase{"Length",
+                "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"
+                "Content-Type: a/b\r\n\r\ntwelve bytes",
+                "twelve bytes"},
+        CutCase{"EmptyBody",
+                "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 0\r\n\r\n", ""},
+        CutCase{"Chunks",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                "\r\n6\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n",
+                "twelve bytes", 1},
+        CutCase{"AfterInterimResponse",
+                "HTTP/1.1 103 Hint\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n"
+                "Content-Length: 4\r\n\r\nbody",
+                "body"}),
+    CaseName());
+
 struct EarlyEndCase {
   const char *Name_;
   /// Whether the upstream's port accepts connections.
