LibRouting, jaybridged: End planned stops with answers, find overdue attempts

What callers saw: actions taken two seconds after SIGTERM were sent to an instance and cut without an answer when the process ended. Attempts that hang said nothing about their instance until their deadline, seconds later. Cause: requests were taken for three seconds after the signal whatever their time, and the grace ended without answers. Only the end of an attempt was an observation. Change: DrainStarted states until when requests are taken and when the process ends. What may last longer than the longest recent attempt permits is refused as not run, also when it has waited; what is open at the end is answered with what is known. isDrained() counts requests that wait for routes. OverduePolicy knows the typical times of each route; an overdue attempt is reported once and its request gets a second attempt from the budget of retries if it may repeat. Requests that must not repeat avoid instances that return from an ejection.

--- a/Libraries/LibCore/Identifiers.h
+++ b/Libraries/LibCore/Identifiers.h
@@ -9,6 +9,7 @@
 /// An instance of an upstream service.
 using InstanceId = Identifier<struct InstanceIdTag>;
 using ServiceName = Identifier<struct ServiceNameTag>;
+using RouteName = Identifier<struct RouteNameTag>;
 using ProfileName = Identifier<struct ProfileNameTag>;
 using FailureDomain = Identifier<struct FailureDomainTag>;
 using OperatorName = Identifier<struct OperatorNameTag>;
--- a/Libraries/LibProfile/RoutingTable.h
+++ b/Libraries/LibProfile/RoutingTable.h
@@ -9,7 +9,6 @@
 
 namespace jaybridge {
 
-using RouteName = Identifier<struct RouteNameTag>;
 using HostName = Identifier<struct HostNameTag>;
 /// Share of a route's requests, relative to the other services of the route.
 using SplitWeight = Quantity<struct SplitWeightTag, std::uint32_t>;
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -54,7 +54,7 @@
                               {},
                               {},
                               Incoming.IsForwarded_ ? "forwarded" : ""});
-  if (IsDraining_)
+  if (isRefusingNew(Now))
     return refuseNew(Received, RefusalReason::Draining, Out);
   if (Received.Service_.isEmpty())
     return openByRoute(Incoming, Now, Out);
@@ -85,6 +85,7 @@
     Deadline = std::min(Deadline, *Received.Deadline_);
   RequestExecution Execution(std::move(Routed), Matched->Profile_, Deadline);
   Execution.limitAttempts(Matched->Values_.MaxAttempts_);
+  Execution.setRoute(Matched->Values_.Name_);
   open(Incoming, std::move(Execution), Now, Out);
 }
 
@@ -238,9 +239,13 @@
     serveLocally(*Execution, Now, Out);
 }
 
-void Gateway::on(const DrainStarted & /*Incoming*/, TimePoint /*Now*/,
+void Gateway::on(const DrainStarted &Incoming, TimePoint /*Now*/,
                  Effects & /*Out*/) {
-  IsDraining_ = true;
+  if (!Drain_)
+    Drain_ = Incoming;
+  Drain_->AdmitUntil_ = std::min(Drain_->AdmitUntil_, Incoming.AdmitUntil_);
+  Drain_->FinishBy_ = std::min(Drain_->FinishBy_, Incoming.FinishBy_);
+  Dispatcher_.setFinishBy(Drain_->FinishBy_);
 }
 
 void Gateway::refuseNew(const Request &Received, RefusalReason Reason,
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -39,10 +39,16 @@
   }
 
   /// True when a drain has started and no request or attempt is in progress.
-  bool isDrained() const { return IsDraining_ && Dispatcher_.isIdle(); }
+  bool isDrained() const {
+    return Drain_ && HeldRequests_.empty() && Dispatcher_.isIdle();
+  }
   std::size_t requestCount() const { return Dispatcher_.requestCount(); }
 
 private:
+  bool isRefusingNew(TimePoint Now) const {
+    return Drain_ && Now >= Drain_->AdmitUntil_;
+  }
+
   Gateway(GatewaySettings Settings, RandomSeed Seed)
       : Settings_(std::move(Settings)),
         Dispatcher_(Settings_.Domain_, Settings_.QueueCapacity_,
@@ -83,7 +89,7 @@
   void serveLocally(RequestExecution &Execution, TimePoint Now, Effects &Out);
 
   GatewaySettings Settings_;
-  bool IsDraining_ = false;
+  std::optional<DrainStarted> Drain_;
   RequestDispatcher Dispatcher_;
   struct HeldRequest {
     RequestReceived Incoming_;
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -113,8 +113,17 @@
   std::vector<RetryCount> Retries_;
 };
 
-/// The daemon shuts down: new requests are refused, those in progress finish.
-struct DrainStarted {};
+/// The daemon shuts down. Without times, new requests are refused and those in
+/// progress finish.
+struct DrainStarted {
+  /// Until this time, new requests are still served if they can end by
+  /// FinishBy_, because callers find another gateway only after a while.
+  TimePoint AdmitUntil_{};
+  /// The daemon ends at this time: nothing is sent to an instance that may take
+  /// longer, and requests that are still in progress are answered with what is
+  /// known about them.
+  TimePoint FinishBy_ = TimePoint::max();
+};
 
 using GatewayEvent =
     std::variant<RequestReceived, CallerDisconnected, AttemptFinished,
@@ -163,6 +172,13 @@
   Answer Answer_;
 };
 
+/// Reports an attempt that has been open far longer than its like, as evidence
+/// about its instance. Its end is reported too.
+struct ReportOverdue {
+  ServiceName Service_;
+  InstanceId Instance_;
+};
+
 /// Reports the end of an attempt as evidence about its instance.
 struct ReportAttempt {
   ServiceName Service_;
@@ -171,6 +187,8 @@
   StatusCode Status_;
   Duration Elapsed_{};
   Fingerprint Fingerprint_;
+  /// A ReportOverdue preceded.
+  bool WasOverdue_ = false;
 };
 
 /// Reports that a retry was taken from the budget of a service.
@@ -202,6 +220,7 @@
   Forwarded,
   Answered,
   Refused,
+  Overdue,
 };
 
 /// Records one step in the trace of a request.
@@ -218,6 +237,6 @@
 using GatewayEffect =
     std::variant<SendAttempt, CancelAttempt, AnswerCaller, ClaimKey, ReleaseKey,
                  FinishKey, ReportAttempt, ForwardRequest, CancelForward,
-                 RecordStep, ReportRetry>;
+                 RecordStep, ReportRetry, ReportOverdue>;
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -27,6 +27,7 @@
   case RefusalReason::Overloaded:
   case RefusalReason::QueueFull:
   case RefusalReason::UpstreamUnavailable:
+  case RefusalReason::Draining:
     return true;
   default:
     return false;
@@ -160,6 +161,8 @@
     return refuse(Execution, RefusalReason::DeadlinePassed, Now, Out);
   if (QuarantinedFingerprints_.contains(Execution.fingerprint()))
     return refuse(Execution, RefusalReason::CrashesUpstreams, Now, Out);
+  if (!canEndInTime(Execution, Now))
+    return refuse(Execution, RefusalReason::Draining, Now, Out);
   const ServiceName &Name = Execution.request().Service_;
   if (Queue_.length(Name) > 0)
     return enqueue(Execution, Now, Out);
@@ -170,14 +173,37 @@
   dispatch(Execution, *Chosen, DispatchKind::Normal, Now, Out);
 }
 
+bool RequestDispatcher::canEndInTime(const RequestExecution &Execution,
+                                     TimePoint Now) const {
+  if (Execution.deadline() <= FinishBy_)
+    return true;
+  const ServiceRouter *Router = findService(Execution.request().Service_);
+  std::optional<Duration> Longest;
+  if (Router)
+    Longest = Router->longestAttempt();
+  // Without an estimate only the deadline bounds the time of an attempt.
+  return Longest && Now + *Longest <= FinishBy_;
+}
+
+void RequestDispatcher::refuseUnfinished(TimePoint Now, Effects &Out) {
+  std::vector<RequestId> Unfinished;
+  for (const auto &[Id, Execution] : Requests_)
+    if (Execution.phase() != RequestExecution::Phase::Answered)
+      Unfinished.push_back(Id);
+  for (const RequestId &Id : Unfinished)
+    refuse(Requests_.at(Id), RefusalReason::Draining, Now, Out);
+}
+
 std::optional<InstanceId>
 RequestDispatcher::selectInstance(const RequestExecution &Execution,
                                   ServiceRouter &Router, TimePoint Now) {
-  SelectionRequest Selection{Execution.triedInstances()};
+  SelectionRequest Selection{Execution.triedInstances(),
+                             Execution.isRepeatable()};
   std::optional<InstanceId> Chosen =
       Router.pool().select(Selector_, Selection, Now);
   if (!Chosen && !Selection.Tried_.empty())
-    Chosen = Router.pool().select(Selector_, SelectionRequest{}, Now);
+    Chosen = Router.pool().select(
+        Selector_, SelectionRequest{{}, Execution.isRepeatable()}, Now);
   return Chosen;
 }
 
@@ -209,9 +235,17 @@
   ServiceRouter &Router = service(Sent.Service_);
   const InstanceRecord &Target = Router.pool().find(Instance)->record();
   bool IsFirst = !Execution.hasBeenDispatched();
-  AttemptId Attempt = Attempts_.add(
-      LiveAttempt{Sent.Id_, Sent.Service_, Instance, Execution.fingerprint(),
-                  Execution.deadline() + ReportTimeout});
+  LiveAttempt Live;
+  Live.Request_ = Sent.Id_;
+  Live.Service_ = Sent.Service_;
+  Live.Route_ = Execution.route();
+  Live.Instance_ = Instance;
+  Live.Fingerprint_ = Execution.fingerprint();
+  if (std::optional<Duration> Delay = Router.overdueDelay(Execution.route());
+      Delay && Now + *Delay < Execution.deadline())
+    Live.OverdueAt_ = Now + *Delay;
+  Live.ExpiresAt_ = Execution.deadline() + ReportTimeout;
+  AttemptId Attempt = Attempts_.add(std::move(Live));
   Execution.beginAttempt(Attempt, Instance);
   Out.emplace_back(SendAttempt{Attempt, Instance, Target.Address_,
                                Execution.sharedRequest(),
@@ -248,6 +282,8 @@
       refuse(Execution, RefusalReason::DeadlinePassed, Now, Out);
     else if (QuarantinedFingerprints_.contains(Execution.fingerprint()))
       refuse(Execution, RefusalReason::CrashesUpstreams, Now, Out);
+    else if (!canEndInTime(Execution, Now))
+      refuse(Execution, RefusalReason::Draining, Now, Out);
     else if (std::optional<InstanceId> Chosen =
                  selectInstance(Execution, Router, Now))
       dispatch(Execution, *Chosen, DispatchKind::Normal, Now, Out);
@@ -265,14 +301,14 @@
   Classified.Result_ =
       classifyAttempt(AttemptEnd, Now >= Attempt->ExpiresAt_ - ReportTimeout,
                       Router.pool().latency().mean());
-  Router.finishAttempt(Attempt->Instance_, Classified, Now);
+  Router.finishAttempt(Attempt->Route_, Attempt->Instance_, Classified, Now);
   if (AttemptEnd.ReportedLoad_)
     Router.pool().updateReportedLoad(Attempt->Instance_,
                                      *AttemptEnd.ReportedLoad_, Now);
-  Out.emplace_back(ReportAttempt{Attempt->Service_, Attempt->Instance_,
-                                 Classified.Result_,
-                                 AttemptEnd.Response_.Status_,
-                                 AttemptEnd.Elapsed_, Attempt->Fingerprint_});
+  Out.emplace_back(
+      ReportAttempt{Attempt->Service_, Attempt->Instance_, Classified.Result_,
+                    AttemptEnd.Response_.Status_, AttemptEnd.Elapsed_,
+                    Attempt->Fingerprint_, Attempt->WasOverdue_});
   Out.emplace_back(RecordStep{Attempt->Request_,
                               StepKind::AttemptEnded,
                               Attempt->Service_,
@@ -378,21 +414,47 @@
   schedulePoolDeadline(Name, service(Name));
 }
 
-void RequestDispatcher::startHedge(const RequestId &Id, TimePoint Now,
+void RequestDispatcher::handleOverdue(const LiveAttempt &Overdue, TimePoint Now,
+                                      Effects &Out) {
+  Out.emplace_back(ReportOverdue{Overdue.Service_, Overdue.Instance_});
+  Out.emplace_back(RecordStep{Overdue.Request_,
+                              StepKind::Overdue,
+                              Overdue.Service_,
+                              Version_,
+                              Overdue.Instance_,
+                              {},
+                              {}});
+  RequestExecution *Execution = find(Overdue.Request_);
+  if (Execution && Execution->isHedgingAllowed())
+    startHedge(*Execution, HedgeReason::Overdue, Now, Out);
+}
+
+void RequestDispatcher::startHedge(RequestExecution &Execution,
+                                   HedgeReason Reason, TimePoint Now,
                                    Effects &Out) {
-  RequestExecution *Execution = find(Id);
-  if (!Execution || Execution->liveAttempts().size() != 1 ||
-      !Execution->canDispatch())
+  if (Execution.liveAttempts().size() != 1 || !Execution.canDispatch() ||
+      !canEndInTime(Execution, Now))
     return;
-  const ServiceName &Name = Execution->request().Service_;
+  const ServiceName &Name = Execution.request().Service_;
   if (Queue_.length(Name) > 0)
     return;
   ServiceRouter &Router = service(Name);
-  SelectionRequest Selection{Execution->triedInstances()};
+  SelectionRequest Selection{Execution.triedInstances(),
+                             Execution.isRepeatable()};
   std::optional<InstanceId> Chosen =
       Router.pool().select(Selector_, Selection, Now);
-  if (Chosen && Router.budget().withdrawHedge())
-    dispatch(*Execution, *Chosen, DispatchKind::Hedge, Now, Out);
+  if (!Chosen)
+    return;
+  // A request whose attempt hangs needs its second attempt as much as one
+  // whose attempt has failed.
+  const bool IsPermitted = Reason == HedgeReason::Overdue
+                               ? Router.budget().withdrawRetry()
+                               : Router.budget().withdrawHedge();
+  if (!IsPermitted)
+    return;
+  if (Reason == HedgeReason::Overdue)
+    Out.emplace_back(ReportRetry{Name});
+  dispatch(Execution, *Chosen, DispatchKind::Hedge, Now, Out);
 }
 
 void RequestDispatcher::expireFirstAttempt(TimePoint Now, Effects &Out) {
@@ -404,6 +466,8 @@
 }
 
 void RequestDispatcher::advance(TimePoint Now, Effects &Out) {
+  if (Now >= FinishBy_)
+    refuseUnfinished(Now, Out);
   while (!PoolDeadlines_.empty() && PoolDeadlines_.begin()->first <= Now) {
     ServiceName Name = PoolDeadlines_.begin()->second;
     service(Name).pool().advance(Now);
@@ -423,8 +487,12 @@
   while (!HedgeTimers_.empty() && HedgeTimers_.begin()->first <= Now) {
     RequestId Id = HedgeTimers_.begin()->second;
     HedgeTimers_.erase(HedgeTimers_.begin());
-    startHedge(Id, Now, Out);
+    if (RequestExecution *Execution = find(Id))
+      startHedge(*Execution, HedgeReason::Slow, Now, Out);
   }
+  while (const LiveAttempt *Overdue = Attempts_.takeOverdue(Now))
+    // The table may change while the attempt is handled.
+    handleOverdue(LiveAttempt(*Overdue), Now, Out);
   while (Attempts_.nextExpiry() && *Attempts_.nextExpiry() <= Now)
     expireFirstAttempt(Now, Out);
 }
@@ -437,7 +505,13 @@
   };
   ConsiderFirst(RequestDeadlines_);
   ConsiderFirst(HedgeTimers_);
+  if (auto Overdue = Attempts_.nextOverdue();
+      Overdue && (!Next || *Overdue < *Next))
+    Next = Overdue;
   ConsiderFirst(PoolDeadlines_);
+  // Every request in progress has a deadline, unless it is answered.
+  if (Next && !RequestDeadlines_.empty())
+    Next = std::min(*Next, FinishBy_);
   return Next;
 }
 
--- a/Libraries/LibRouting/RequestDispatcher.h
+++ b/Libraries/LibRouting/RequestDispatcher.h
@@ -33,6 +33,9 @@
       service(Grant.Service_).budget().refill(Grant.Retries_);
   }
   void quarantine(const FingerprintsQuarantined &Changed);
+  /// From now on nothing is dispatched that may not end by this time. Requests
+  /// in progress at this time are refused with their known outcome.
+  void setFinishBy(TimePoint FinishBy) { FinishBy_ = FinishBy; }
 
   RequestExecution *find(const RequestId &Id);
   std::size_t requestCount() const { return Requests_.size(); }
@@ -68,6 +71,10 @@
   enum class DispatchKind { Normal, Hedge };
   using Timers = std::set<std::pair<TimePoint, RequestId>>;
 
+  /// False when an attempt that starts now may last longer than FinishBy_.
+  bool canEndInTime(const RequestExecution &Execution, TimePoint Now) const;
+  /// Refuses the requests that are in progress at FinishBy_.
+  void refuseUnfinished(TimePoint Now, Effects &Out);
   /// Selects an instance that had no attempt of the request, or else any.
   std::optional<InstanceId> selectInstance(const RequestExecution &Execution,
                                            ServiceRouter &Router,
@@ -85,7 +92,13 @@
   /// Releases the claim of a request that did not run; else stores its answer.
   void releaseOrFinishKey(const RequestExecution &Execution,
                           const Answer &Final, Effects &Out) const;
-  void startHedge(const RequestId &Id, TimePoint Now, Effects &Out);
+  /// Why a second attempt starts while the first is open: it takes longer than
+  /// most, or it probably hangs.
+  enum class HedgeReason { Slow, Overdue };
+  void startHedge(RequestExecution &Execution, HedgeReason Reason,
+                  TimePoint Now, Effects &Out);
+  /// Reports the attempt and hedges its request if that may run twice.
+  void handleOverdue(const LiveAttempt &Overdue, TimePoint Now, Effects &Out);
   /// Ends the attempt that expires first as if it had been reported.
   void expireFirstAttempt(TimePoint Now, Effects &Out);
   /// Updates the timer of the service's pool.
@@ -94,6 +107,7 @@
   FailureDomain OwnDomain_;
   RetryBudgetBounds RetryBounds_;
   ConfigurationVersion Version_;
+  TimePoint FinishBy_ = TimePoint::max();
   AdmissionQueue Queue_;
   PowerOfTwoChoices Selector_;
   std::set<Fingerprint> QuarantinedFingerprints_;
--- a/Libraries/LibRouting/RequestExecution.h
+++ b/Libraries/LibRouting/RequestExecution.h
@@ -30,6 +30,9 @@
   }
   TimePoint deadline() const { return Deadline_; }
   ClassWeight weight() const { return Weight_; }
+  /// Empty for a request that names its service.
+  const RouteName &route() const { return Route_; }
+  void setRoute(RouteName Route) { Route_ = std::move(Route); }
   Fingerprint fingerprint() const { return Fingerprint_; }
   bool isRepeatable() const { return IsRepeatable_; }
   bool isHedgingAllowed() const { return IsHedgingAllowed_; }
@@ -75,6 +78,7 @@
   std::shared_ptr<const Request> Request_;
   TimePoint Deadline_;
   ClassWeight Weight_;
+  RouteName Route_;
   Fingerprint Fingerprint_;
   bool IsRepeatable_;
   bool IsHedgingAllowed_;
--- a/Libraries/LibRouting/ServiceRouter.cpp
+++ b/Libraries/LibRouting/ServiceRouter.cpp
@@ -22,7 +22,8 @@
   Budget_.setShare(Policy_->Profile_.retryBudget());
 }
 
-void ServiceRouter::finishAttempt(const InstanceId &Instance,
+void ServiceRouter::finishAttempt(const RouteName &Route,
+                                  const InstanceId &Instance,
                                   const AttemptOutcome &AttemptEnd,
                                   TimePoint Now) {
   Pool_.finish(Instance, AttemptEnd, Now);
@@ -34,6 +35,10 @@
   if (IsAnswer || AttemptEnd.Result_ == AttemptResult::Cancelled ||
       AttemptEnd.Result_ == AttemptResult::TimedOut)
     Hedging_.record(AttemptEnd.Elapsed_);
+  if (!IsAnswer)
+    return;
+  Overdue_.record(Route, AttemptEnd.Elapsed_);
+  Longest_.record(AttemptEnd.Elapsed_, Now);
 }
 
 Duration ServiceRouter::predictedWait(std::size_t RequestsAhead) const {
--- a/Libraries/LibRouting/ServiceRouter.h
+++ b/Libraries/LibRouting/ServiceRouter.h
@@ -2,7 +2,9 @@
 
 #include <LibProfile/ServicePolicy.h>
 #include <LibRouting/HedgePolicy.h>
+#include <LibRouting/OverduePolicy.h>
 #include <LibRouting/RetryBudget.h>
+#include <LibUpstream/LongestRecent.h>
 #include <LibUpstream/UpstreamPool.h>
 
 #include <map>
@@ -28,9 +30,15 @@
   const UpstreamPool &pool() const { return Pool_; }
   RetryBudget &budget() { return Budget_; }
 
-  void finishAttempt(const InstanceId &Instance,
+  void finishAttempt(const RouteName &Route, const InstanceId &Instance,
                      const AttemptOutcome &AttemptEnd, TimePoint Now);
+  /// Time after which an attempt of the route is overdue, if that is known.
+  std::optional<Duration> overdueDelay(const RouteName &Route) const {
+    return Overdue_.delay(Route);
+  }
   std::optional<Duration> hedgeDelay() const { return Hedging_.delay(); }
+  /// Time of the longest attempt that was answered recently.
+  std::optional<Duration> longestAttempt() const { return Longest_.value(); }
 
   /// Queueing delay of a request behind this many others: by Little's law on
   /// the slots in use and the mean latency.
@@ -55,6 +63,8 @@
   UpstreamPool Pool_;
   RetryBudget Budget_;
   HedgePolicy Hedging_;
+  OverduePolicy Overdue_;
+  LongestRecent Longest_;
   std::vector<MemberId> Homes_;
   std::map<MemberId, TimePoint> HomeLostUntil_;
 };
--- a/Libraries/LibRouting/StepName.cpp
+++ b/Libraries/LibRouting/StepName.cpp
@@ -24,6 +24,8 @@
     return "answered";
   case StepKind::Refused:
     return "refused";
+  case StepKind::Overdue:
+    return "overdue";
   }
   return "unknown";
 }
--- a/Libraries/LibUpstream/LatencyEstimate.cpp
+++ b/Libraries/LibUpstream/LatencyEstimate.cpp
@@ -53,7 +53,9 @@
     for (std::uint32_t &BucketTotal : Histogram_)
       HistogramTotal_ += (BucketTotal /= 2);
   }
-  if (SampleCount_.value() % RecomputeInterval == 0)
+  // Each of the first samples changes the quantile much.
+  if (SampleCount_.value() % RecomputeInterval == 0 ||
+      SampleCount_ < DefaultMinSamples)
     recompute();
 }
 
--- a/Libraries/LibUpstream/LatencyEstimate.h
+++ b/Libraries/LibUpstream/LatencyEstimate.h
@@ -41,12 +41,14 @@
 /// is full, so that the quantile follows changes.
 class LatencyQuantile {
 public:
-  static constexpr EventCount MinSamples{32};
+  static constexpr EventCount DefaultMinSamples{32};
 
-  explicit LatencyQuantile(Percentage Percentile) : Percentile_(Percentile) {}
+  explicit LatencyQuantile(Percentage Percentile,
+                           EventCount MinSamples = DefaultMinSamples)
+      : Percentile_(Percentile), MinSamples_(MinSamples) {}
 
   void record(Duration Elapsed);
-  bool hasEnoughSamples() const { return SampleCount_ >= MinSamples; }
+  bool hasEnoughSamples() const { return SampleCount_ >= MinSamples_; }
   /// Upper bound of the bucket that contains the quantile.
   Duration value() const { return Quantile_; }
 
@@ -56,6 +58,7 @@
   void recompute();
 
   Percentage Percentile_;
+  EventCount MinSamples_;
   EventCount SampleCount_;
   std::uint32_t HistogramTotal_ = 0;
   std::array<std::uint32_t, BucketCount> Histogram_{};
--- a/Libraries/LibUpstream/SelectionPolicy.h
+++ b/Libraries/LibUpstream/SelectionPolicy.h
@@ -18,6 +18,8 @@
 struct SelectionRequest {
   /// Instances to which this request has already been sent.
   std::vector<InstanceId> Tried_;
+  /// Whether the request may run more than once.
+  bool IsRepeatable_ = true;
 };
 
 /// Instances that can take a request now, addressed by position. The number of
--- a/Libraries/LibUpstream/UpstreamInstance.cpp
+++ b/Libraries/LibUpstream/UpstreamInstance.cpp
@@ -74,8 +74,10 @@
 }
 
 void UpstreamInstance::setEjected(bool IsEjected, TimePoint Now) {
-  if (IsEjected_ && !IsEjected)
+  if (IsEjected_ && !IsEjected) {
     WarmUpEndsAt_ = Now + WarmUpDuration;
+    IsOnProbation_ = true;
+  }
   IsEjected_ = IsEjected;
 }
 
@@ -121,6 +123,7 @@
   FailureRatio_ *= (1 - FailureSmoothing) * decayFactor(Now - FailureRatioAt_);
   FailureRatioAt_ = Now;
   ConsecutiveFailures_ = 0;
+  IsOnProbation_ = false;
   ConsecutiveSheds_ = 0;
   IsRefusingConnections_ = false;
   Latency_.record(Attempt.Elapsed_, Now);
--- a/Libraries/LibUpstream/UpstreamInstance.h
+++ b/Libraries/LibUpstream/UpstreamInstance.h
@@ -53,6 +53,10 @@
   bool isServing() const { return Record_.State_ == InstanceState::Serving; }
   bool isEjected() const { return IsEjected_; }
   bool isWarmingUp(TimePoint Now) const { return Now < WarmUpEndsAt_; }
+  /// Returned from an ejection and has answered nothing since.
+  bool isOnProbation(TimePoint Now) const {
+    return IsOnProbation_ && isWarmingUp(Now);
+  }
   TimePoint backoffEnd() const { return BackoffEndsAt_; }
   bool isAvailable(TimePoint Now) const;
   /// Selection cost, computed from load, failures and the latency relative to
@@ -70,6 +74,7 @@
   LatencyEstimate Latency_{LatencySampleWindow};
   SlotCount InUse_;
   bool IsEjected_ = false;
+  bool IsOnProbation_ = false;
   TimePoint WarmUpEndsAt_;
   TimePoint BackoffEndsAt_{};
   /// Exponentially weighted share of failed attempts, 0 to 1, at the time
--- a/Libraries/LibUpstream/UpstreamPool.h
+++ b/Libraries/LibUpstream/UpstreamPool.h
@@ -18,6 +18,9 @@
   /// Extra cost of an instance in a remote failure domain. Local instances are
   /// preferred until they have two more of four slots in use.
   static constexpr SelectionCost RemoteDomainCost{0.5};
+  /// Extra cost of an instance that returns from an ejection, for requests that
+  /// must not be repeated: others try it first.
+  static constexpr SelectionCost ProbationCost{2};
   /// Instances that join within this time after the first one are not treated
   /// as cold, because the gateway itself has just started.
   static constexpr Duration StartupGracePeriod = 5s;
@@ -118,6 +121,8 @@
   SelectionCost cost(std::size_t Position) const {
     const UpstreamInstance &Instance = instance(Position);
     SelectionCost BaseCost = Instance.cost(Pool_.Latency_.mean(), Now_);
+    if (!Request_.IsRepeatable_ && Instance.isOnProbation(Now_))
+      BaseCost = BaseCost + ProbationCost;
     return Instance.record().Domain_ == Pool_.LocalDomain_
                ? BaseCost
                : BaseCost + RemoteDomainCost;
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -18,6 +18,8 @@
 constexpr Duration LateRequestGrace = 500ms;
 /// Part of the grace period that is reserved for ending the process.
 constexpr Duration ProcessExitReserve = 300ms;
+/// Time for writing the answers of requests that did not end in time.
+constexpr Duration LastAnswersReserve = 200ms;
 /// Retries per service that each gateway holds; the control members replace
 /// those that it spends.
 constexpr EventCount RetriesPerService(1);
@@ -264,13 +266,18 @@
 }
 
 bool GatewayDaemon::drain(Duration Grace) {
-  const TimePoint Deadline = monotonicNow() + Grace - ProcessExitReserve;
+  const TimePoint Now = monotonicNow();
+  const TimePoint Deadline = Now + Grace - ProcessExitReserve;
+  const Duration Accepting = std::min(BalancerRemovalDelay, Grace / 2);
+  const Duration Late = std::min(LateRequestGrace, Grace / 10);
   IsDraining_ = true;
   Log_.write(LogLevel::Info, "draining", {});
+  RequestPath_->announceDrain(Now + Accepting + Late,
+                              std::max(Now, Deadline - LastAnswersReserve));
   RequestPath_->closeAfterAnswers();
-  std::this_thread::sleep_for(std::min(BalancerRemovalDelay, Grace / 2));
+  std::this_thread::sleep_for(Accepting);
   RequestPath_->stopAccepting();
-  std::this_thread::sleep_for(std::min(LateRequestGrace, Grace / 10));
+  std::this_thread::sleep_for(Late);
   const bool IsComplete = RequestPath_->drain(
       std::max(Duration::zero(), Deadline - monotonicNow()));
   Log_.write(LogLevel::Info, "drained",
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -144,6 +144,12 @@
   return std::nullopt;
 }
 
+std::optional<GatewayEvent> RequestPath::deliver(ReportOverdue &Effect) {
+  if (Sinks_.Overdue_)
+    Sinks_.Overdue_(std::move(Effect));
+  return std::nullopt;
+}
+
 std::optional<GatewayEvent> RequestPath::deliver(ReportRetry &Effect) {
   if (Sinks_.RetrySpent_)
     Sinks_.RetrySpent_(std::move(Effect));
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -26,6 +26,8 @@
   std::function<bool(FinishKey)> Finish_;
   std::function<void(ReportAttempt)> Observe_;
   /// May be empty.
+  std::function<void(ReportOverdue)> Overdue_;
+  /// May be empty.
   std::function<void(ReportRetry)> RetrySpent_;
   std::function<bool(ForwardRequest)> Forward_;
   std::function<void(CancelForward)> CancelForward_;
@@ -71,6 +73,10 @@
   void closeAfterAnswers() { Callers_->closeAfterAnswers(); }
   /// Takes no new connections; requests on open ones are still served.
   void stopAccepting() { Callers_->stopAccepting(); }
+  /// Announces the end of the daemon to the gateway role: see DrainStarted.
+  void announceDrain(TimePoint AdmitUntil, TimePoint FinishBy) {
+    post(DrainStarted{AdmitUntil, FinishBy});
+  }
   /// Refuses new requests and waits until those in progress are answered.
   /// False when some were not answered within the limit.
   [[nodiscard]] bool drain(Duration Limit);
@@ -94,6 +100,7 @@
   std::optional<GatewayEvent> deliver(ReleaseKey &Effect);
   std::optional<GatewayEvent> deliver(FinishKey &Effect);
   std::optional<GatewayEvent> deliver(ReportAttempt &Effect);
+  std::optional<GatewayEvent> deliver(ReportOverdue &Effect);
   std::optional<GatewayEvent> deliver(ReportRetry &Effect);
   std::optional<GatewayEvent> deliver(ForwardRequest &Effect);
   std::optional<GatewayEvent> deliver(CancelForward &Effect);
--- a/Tests/platform/DutyFleet.cpp
+++ b/Tests/platform/DutyFleet.cpp
@@ -156,7 +156,8 @@
   const std::string Document =
       R"({"Version":1,"Routes":{)" + routeText("safe", "safe", 3000) + "," +
       routeText("unsafe", "unsafe", 3000) + "," +
-      routeText("long", "safe", 15000) +
+      routeText("long", "safe", 15000) + "," +
+      routeText("patient", "unsafe", 15000) +
       R"(},"Services":{"service":{"HealthPath":"/health"}},"Limits":{}})";
   for (std::size_t Member = 0; Member < MemberCount; ++Member)
     if (callControl(Member, "PUT", "/jaybridge/config", Document).Status_ ==
--- a/Tests/platform/DutyFleet.h
+++ b/Tests/platform/DutyFleet.h
@@ -18,8 +18,9 @@
 /// of the service "service" inside the test. All files are in one temporary
 /// folder. The kernel assigns the ports.
 ///
-/// The configuration has the routes "/safe/", "/unsafe/" and "/long/" of the
-/// host "h.example"; "/long/" is safe and has a patience of 15 s.
+/// The configuration has the routes "/safe/", "/unsafe/", "/long/" and
+/// "/patient/" of the host "h.example". "/long/" is safe and "/patient/" is
+/// not; both have a patience of 15 s.
 class DutyFleet {
 public:
   explicit DutyFleet(std::size_t GatewayCount);
@@ -44,6 +45,10 @@
   /// answers finally. Returns the status.
   unsigned announce(const std::string &Id, const std::string &Body);
 
+  /// Sends a signal to the process of a gateway.
+  void signalGateway(std::size_t Gateway, int Signal) {
+    Gateways_[Gateway].send(Signal);
+  }
   /// Processes that have ended by themselves.
   std::size_t endedProcesses() const;
   /// Peak memory of a gateway.
