LibRegistry: Replace spent retries in fleets of many control members

What callers saw: on the large site a gateway had one retry of each service for its whole life. Cause: the pools of all members together held 12 retries. With 15 members that is four fifths of a retry each, and only whole ones can be granted. Evidence: RetryPoolTest, row OneOfManyMembers (by reading the old code, 0 granted; 1 now).

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -28,7 +28,8 @@
   using Effects = std::vector<Effect>;
 
   ControlService(ControlSettings Settings, ReplicatedLog Log)
-      : Settings_(std::move(Settings)), Log_(std::move(Log)) {}
+      : Settings_(std::move(Settings)), Log_(std::move(Log)),
+        Retries_(Settings_.RetryAllowance_) {}
 
   void handle(const Event &Incoming, TimePoint Now, Effects &Out) {
     std::visit([&](const auto &Concrete) { on(Concrete, Now, Out); }, Incoming);
--- a/Libraries/LibRegistry/ControlSettings.h
+++ b/Libraries/LibRegistry/ControlSettings.h
@@ -25,6 +25,9 @@
   FailureDomain Domain_;
   /// Share of a service's healthy instances that ejections leave in use.
   Percentage Floor_ = Percentage(70);
+  /// Retries of a service that the fleet may make in ten seconds beyond a share
+  /// of its requests.
+  EventCount RetryAllowance_{60};
   /// Interval of heartbeats to subscribers. Several intervals fit into the time
   /// after which a gateway switches to another member.
   Duration HeartbeatInterval_ = 400ms;
--- a/Libraries/LibRegistry/RetryPool.cpp
+++ b/Libraries/LibRegistry/RetryPool.cpp
@@ -4,8 +4,10 @@
 
 void RetryPool::deposit(const ServiceName &Service, EventCount Outcomes,
                         std::size_t MemberCount) {
-  const RetryHundredths Capacity(inHundredths(FleetCapacity).value() /
-                                 std::max<std::size_t>(1, MemberCount));
+  const RetryHundredths Capacity =
+      std::max(inHundredths(EventCount(1)),
+               RetryHundredths(inHundredths(FleetCapacity_).value() /
+                               std::max<std::size_t>(1, MemberCount)));
   Balances_[Service].add(
       RetryHundredths(Outcomes.value() * DepositShare.value()), Capacity);
 }
--- a/Libraries/LibSettings/Flags.cpp
+++ b/Libraries/LibSettings/Flags.cpp
@@ -39,6 +39,10 @@
 DEFINE_string(answer_limit_bytes, "", "maximum size of a response body");
 DEFINE_string(queue_limit, "",
               "maximum number of requests waiting in one queue");
+DEFINE_string(
+    retry_allowance, "",
+    "retries of a service that the fleet may make in ten seconds beyond "
+    "a share of its requests");
 DEFINE_string(log_level, "", "debug, info, warning, error or off");
 DEFINE_bool(check_settings, false, "check the settings and exit");
 
@@ -69,6 +73,7 @@
                                      "body-limit-bytes",
                                      "answer-limit-bytes",
                                      "queue-limit",
+                                     "retry-allowance",
                                      "log-level",
                                      "check-settings"};
 
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -33,6 +33,7 @@
 constexpr NumberRange SeedPeerPortRange = {"seed-peer-port", 0, 0, 65535};
 constexpr NumberRange ShutdownGracePeriodRange = {"grace-ms", 300000, 100,
                                                   86400000};
+constexpr NumberRange RetryAllowanceRange = {"retry-allowance", 60, 0, 1000000};
 constexpr NumberRange QueueLimitRange = {"queue-limit", 4096, 1, 1000000};
 
 /// Reads typed values from SettingValues and keeps the first error.
@@ -227,6 +228,7 @@
   Parsed.AnswerLimit_ = ByteCount(Reader.readNumber(AnswerLimitRange));
   Parsed.QueueLimit_ = QueueLimit(
       static_cast<std::uint32_t>(Reader.readNumber(QueueLimitRange)));
+  Parsed.RetryAllowance_ = EventCount(Reader.readNumber(RetryAllowanceRange));
   if (const std::string File = Reader.readText("address-file"); !File.empty())
     Parsed.AddressFile_ = File;
   Parsed.LogLevel_ = Reader.readLogLevel("log-level");
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -63,6 +63,9 @@
   ByteCount BodyLimit_;
   ByteCount AnswerLimit_;
   QueueLimit QueueLimit_;
+  /// Retries of a service that the whole fleet may make in ten seconds beyond a
+  /// share of its requests.
+  EventCount RetryAllowance_;
   LogLevel LogLevel_ = LogLevel::Info;
   /// File to which the listening addresses are written, so that ports chosen by
   /// the kernel are known.
--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -71,6 +71,7 @@
   ControlSettings Control;
   Control.Self_ = RegistryPeers::memberIdOf(DaemonSettings.PeerAddress_);
   Control.Domain_ = DaemonSettings.Domain_;
+  Control.RetryAllowance_ = DaemonSettings.RetryAllowance_;
   std::unique_ptr<ControlDaemon> Created(new ControlDaemon(
       DaemonSettings, std::move(Storage),
       Service(std::move(Control), std::move(Log)), std::move(OnStopped)));
--- a/Tests/LibRegistry/TestRetryPool.cpp
+++ b/Tests/LibRegistry/TestRetryPool.cpp
@@ -10,6 +10,7 @@
 
 struct PoolCase {
   const char *Name_;
+  std::uint64_t Allowance_;
   std::size_t MemberCount_;
   std::uint64_t Outcomes_;
   std::uint64_t Requested_;
@@ -19,9 +20,10 @@
 class RetryPoolTest : public testing::TestWithParam<PoolCase> {};
 
 // Guards against pools of several members that together exceed the limit of the
-// fleet, and against retries beyond the permitted share of the outcomes.
+// fleet, against retries beyond the permitted share of the outcomes, and
+// against so many members that no part holds a whole retry.
 TEST_P(RetryPoolTest, GrantsAShareOfTheOutcomesUpToItsCapacity) {
-  RetryPool Pool;
+  RetryPool Pool(EventCount(GetParam().Allowance_));
   Pool.deposit(Service, EventCount(GetParam().Outcomes_),
                GetParam().MemberCount_);
   EXPECT_EQ(Pool.withdraw(Service, EventCount(GetParam().Requested_)).value(),
@@ -31,12 +33,14 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Deposits, RetryPoolTest,
-    testing::Values(PoolCase{"Nothing", 1, 0, 5, 0},
-                    PoolCase{"TooFewForOne", 1, 6, 5, 0},
-                    PoolCase{"AShare", 1, 50, 20, 8},
-                    PoolCase{"NoMoreThanWanted", 1, 50, 3, 3},
-                    PoolCase{"FullOfOne", 1, 100000, 100, 12},
-                    PoolCase{"PartOfFive", 5, 100000, 100, 2}),
+    testing::Values(PoolCase{"Nothing", 60, 1, 0, 5, 0},
+                    PoolCase{"TooFewForOne", 60, 1, 6, 5, 0},
+                    PoolCase{"AShare", 60, 1, 50, 20, 8},
+                    PoolCase{"NoMoreThanWanted", 60, 1, 50, 3, 3},
+                    PoolCase{"FullOfOne", 60, 1, 100000, 100, 12},
+                    PoolCase{"PartOfFive", 60, 5, 100000, 100, 2},
+                    PoolCase{"OneOfManyMembers", 60, 15, 100000, 100, 1},
+                    PoolCase{"LargeAllowance", 400, 15, 100000, 100, 5}),
     CaseName());
 
 // Guards against a gateway that runs out of retries when all failures occur at
@@ -67,7 +71,8 @@
   Fleet.run(100ms);
   const std::uint64_t Granted = Fleet.view(0).RetriesGranted_.value();
   EXPECT_GE(Granted, 3U);
-  EXPECT_LE(Granted, RetryPool::FleetCapacity.value());
+  EXPECT_LE(Granted, ControlSettings{}.RetryAllowance_.value() /
+                         RetryPool::AllowanceDivisor);
   EXPECT_EQ(Fleet.view(1).RetriesGranted_, EventCount(0));
 }
 
