LibRegistry: Judge open attempts, and send what changed

Cause: no outcome was no evidence; ejections of more than an eighth of a service ended early whatever the load; each heartbeat and leader update held all ejected instances; each renewal of a subscription that met a change on its way got the whole registry; gateways stayed with a member of another domain for three seconds while 600 instances were announced. Change: overdue attempts count as lost as far as such attempts of the service usually are lost, and are taken back when they are answered; a service that is slow as a whole ejects nobody. Proven ejections go on while the slots of the others suffice (Little's law) up to four tenths of a service. Ejections travel as changes with digests (EjectionSet), missed revisions as the records that changed (InstanceHistory); a nearer member is tried after half a second, then less often.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -3,6 +3,7 @@
 #include <LibRegistry/ControlMessages.h>
 #include <LibRegistry/ControlSettings.h>
 #include <LibRegistry/FleetEvidence.h>
+#include <LibRegistry/InstanceHistory.h>
 #include <LibRegistry/MemberDomains.h>
 #include <LibRegistry/RetryPool.h>
 #include <LibRegistry/ServiceRegistry.h>
@@ -179,6 +180,8 @@
                    [&](const FollowerReport &Report) {
                      Domains_.setDomain({Received.From_, Report.Domain_});
                      recordAttempts(Report, Now, Out);
+                     if (Log_.isLeader() && Report.NeedsWholeLists_)
+                       send(Received.From_, leaderUpdate(), Out);
                    },
                    [&](const LeaderUpdate &Update) {
                      if (Log_.leader() == Received.From_)
@@ -203,12 +206,17 @@
         !Subscribers_.renew(From, Request.Revision_, Now))
       return;
     if (Request.Revision_ == Revision_ && Revision_ > LogIndex()) {
-      RegistryHeartbeat Heartbeat = heartbeat();
+      RegistryHeartbeat Heartbeat = firstHeartbeat();
       std::vector<ControlMember> Members = members();
       if (Request.Members_ != digestOf(Members))
         Heartbeat.Members_ = std::move(Members);
+      if (Request.Ejections_ == NotifiedEjections_.digest())
+        Heartbeat.Ejections_ =
+            NotifiedEjections_.changeFrom(NotifiedEjections_);
       return send(From, std::move(Heartbeat), Out);
     }
+    if (auto Missed = History_.since(Request.Revision_))
+      return sendMissed(From, Request, std::move(*Missed), Out);
     if (!Subscribers_.tryStartFullUpdate(From, Now))
       return;
     RegistryUpdate FullUpdate;
@@ -220,6 +228,22 @@
     FullUpdate.Members_ = members();
     send(From, std::move(FullUpdate), Out);
     Subscribers_.recordSent(From, Revision_);
+    if (Request.Ejections_ != NotifiedEjections_.digest())
+      send(From, firstHeartbeat(), Out);
+  }
+
+  void sendMissed(const MemberId &From, const SubscribeRequest &Request,
+                  std::vector<InstanceRecord> Missed, Effects &Out) {
+    RegistryUpdate Update;
+    Update.BaseRevision_ = Request.Revision_;
+    Update.Revision_ = Revision_;
+    if (Request.Version_ < Registry_.version())
+      Update.Document_ = Registry_.document();
+    Update.Instances_ = std::move(Missed);
+    send(From, std::move(Update), Out);
+    Subscribers_.recordSent(From, Revision_);
+    if (Request.Ejections_ != NotifiedEjections_.digest())
+      send(From, firstHeartbeat(), Out);
   }
 
   void answerPendingSubscribers(TimePoint Now, Effects &Out) {
@@ -246,14 +270,17 @@
       send(From, std::move(Grant), Out);
   }
 
-  RegistryHeartbeat heartbeat() const {
-    return {Revision_, EjectedInstances_, {}, RequestVerdicts_};
+  /// A heartbeat for a subscriber that did not get the previous one: it states
+  /// what the others know, so that the next change fits.
+  RegistryHeartbeat firstHeartbeat() const {
+    return {Revision_, NotifiedEjections_.whole(), {}, RequestVerdicts_};
   }
 
   /// Report is an AttemptReport or a FollowerReport.
   template <typename Report>
   void recordAttempts(const Report &Received, TimePoint Now, Effects &Out) {
-    if (Evidence_.record(Received.Instances_, Received.Requests_, Now))
+    if (Evidence_.record(Received.Instances_, Received.Requests_, Registry_,
+                         Now))
       report(Now, Out);
   }
 
@@ -262,11 +289,26 @@
     LeaderUpdateReceivedAt_ = Now;
     for (const ControlMember &Member : Update.Members_)
       Domains_.setDomain(Member);
-    setEjectedInstances(Update.EjectedInstances_, Now, Out);
+    EjectionSet Stated = Ejections_;
+    const bool FitsUpdate = Stated.apply(Update.Ejections_);
+    if (FitsUpdate)
+      setEjections(std::move(Stated), Now, Out);
+    if (!FitsUpdate || Update.MembersDigest_ != digestOf(members()))
+      requestWholeLists(Now, Out);
     Evidence_.adopt(Update.Requests_, Now);
     setRequestVerdicts(Update.Requests_, Now, Out);
   }
 
+  /// Asks the leader for its lists, once in a report interval.
+  void requestWholeLists(TimePoint Now, Effects &Out) {
+    if (!Log_.leader() || Now < NextListRequest_)
+      return;
+    NextListRequest_ = Now + Settings_.ReportInterval_ / 2;
+    FollowerReport Report = Evidence_.takeReport(Settings_.Domain_);
+    Report.NeedsWholeLists_ = true;
+    send(*Log_.leader(), std::move(Report), Out);
+  }
+
   void setRequestVerdicts(const RequestVerdicts &Verdicts, TimePoint Now,
                           Effects &Out) {
     if (Verdicts == RequestVerdicts_)
@@ -289,15 +331,13 @@
                                    Settings_.MinNotificationInterval_));
   }
 
-  void setEjectedInstances(std::vector<InstanceId> Ejected, TimePoint Now,
-                           Effects &Out) {
-    if (Ejected == EjectedInstances_)
+  void setEjections(EjectionSet Ejections, TimePoint Now, Effects &Out) {
+    if (Ejections.digest() == Ejections_.digest())
       return;
-    bool HasNewEjection =
-        !std::includes(EjectedInstances_.begin(), EjectedInstances_.end(),
-                       Ejected.begin(), Ejected.end());
-    EjectedInstances_ = std::move(Ejected);
-    Out.emplace_back(EjectedInstancesChanged{EjectedInstances_});
+    const bool HasNewEjection =
+        !Ejections.changeFrom(Ejections_).Added_.empty();
+    Ejections_ = std::move(Ejections);
+    Out.emplace_back(EjectedInstancesChanged{Ejections_.instances()});
     // The end of an ejection can wait for the next regular heartbeat.
     if (HasNewEjection)
       sendHeartbeatEarly(Now);
@@ -311,9 +351,15 @@
     for (const auto &[Id, Subscriber] : Subscribers_.all())
       Notification.To_.push_back(Id);
     if (WasCurrent_)
-      Notification.Message_ = heartbeat();
+      Notification.Message_ =
+          RegistryHeartbeat{Revision_,
+                            Ejections_.changeFrom(NotifiedEjections_),
+                            {},
+                            RequestVerdicts_};
     else
       Notification.Message_ = RegistryStale{};
+    if (WasCurrent_)
+      NotifiedEjections_ = Ejections_;
     Out.emplace_back(std::move(Notification));
   }
 
@@ -323,7 +369,7 @@
     Subscribers_.expire(Now);
     if (!Log_.isLeader() &&
         Now > LeaderUpdateReceivedAt_ + 3 * Settings_.ReportInterval_)
-      EjectedInstances_.clear();
+      setEjections({}, Now, Out);
     if (Log_.isLeader()) {
       updateEjections(Now, Out);
       updateRequestVerdicts(Now, Out);
@@ -353,14 +399,10 @@
   }
 
   void updateEjections(TimePoint Now, Effects &Out) {
-    std::vector<InstanceId> Ejected =
-        Evidence_.selectEjected(Registry_, Settings_.Floor_, Now);
-    if (Ejected == EjectedInstances_)
-      return;
-    bool HasNewEjection =
-        !std::includes(EjectedInstances_.begin(), EjectedInstances_.end(),
-                       Ejected.begin(), Ejected.end());
-    setEjectedInstances(std::move(Ejected), Now, Out);
+    EjectionSet Selected;
+    Selected.assign(Evidence_.selectEjected(Registry_, Settings_.Floor_, Now));
+    const bool HasNewEjection = !Selected.changeFrom(Ejections_).Added_.empty();
+    setEjections(std::move(Selected), Now, Out);
     if (HasNewEjection)
       notifyFollowersEarly(Now);
   }
@@ -368,10 +410,23 @@
   void notifyFollowers(TimePoint Now, Effects &Out) {
     NextLeaderUpdate_ = Now + Settings_.ReportInterval_;
     LastLeaderUpdateAt_ = Now;
+    LeaderUpdate Update = leaderUpdate();
+    Update.Ejections_ = Ejections_.changeFrom(ReportedEjections_);
+    ReportedEjections_ = Ejections_;
+    if (std::exchange(ReportedMembers_, Update.MembersDigest_) ==
+        Update.MembersDigest_)
+      Update.Members_.clear();
     for (const Voter &Member : Log_.members().Voters_)
       if (Member.Id_ != Settings_.Self_)
-        send(Member.Id_,
-             LeaderUpdate{EjectedInstances_, members(), RequestVerdicts_}, Out);
+        send(Member.Id_, Update, Out);
+  }
+
+  /// An update with the whole lists that the followers were told last.
+  LeaderUpdate leaderUpdate() const {
+    std::vector<ControlMember> Members = members();
+    const MemberListDigest Digest = digestOf(Members);
+    return {ReportedEjections_.whole(), Digest, std::move(Members),
+            RequestVerdicts_};
   }
 
   std::vector<ControlMember> members() const {
@@ -431,6 +486,7 @@
       return;
     }
     Registry_ = ServiceRegistry(State.takeValue());
+    History_.clear();
     // Subscribers at other revisions request a full update.
     Revision_ = Install.LastIndex_;
   }
@@ -477,6 +533,7 @@
     for (const InstanceRecord &Record : Change.Instances_)
       if (Record.State_ != InstanceState::Draining)
         Evidence_.forget(Record.Id_);
+    History_.record(BaseRevision, Revision, Change.Instances_);
     RegistryUpdate Update;
     Update.BaseRevision_ = BaseRevision;
     Update.Revision_ = Revision;
@@ -509,12 +566,18 @@
   ServiceRegistry Registry_;
   /// Index of the last command that changed the registry.
   LogIndex Revision_;
+  InstanceHistory History_;
   SubscriberTable Subscribers_;
   /// Gateways without any data that subscribed while this member was not
   /// current.
   std::map<MemberId, PendingSubscriber> PendingSubscribers_;
   FleetEvidence Evidence_;
-  std::vector<InstanceId> EjectedInstances_;
+  EjectionSet Ejections_;
+  /// The ejections as of the last heartbeat to all subscribers.
+  EjectionSet NotifiedEjections_;
+  /// On the leader, the lists as of the last update to all followers.
+  EjectionSet ReportedEjections_;
+  MemberListDigest ReportedMembers_;
   RequestVerdicts RequestVerdicts_;
   TimePoint LeaderUpdateReceivedAt_{};
   /// Whether this member was current at the last heartbeat.
@@ -533,6 +596,7 @@
   TimePoint NextHeartbeat_{};
   TimePoint NextReport_{};
   TimePoint NextLeaderUpdate_{};
+  TimePoint NextListRequest_{};
   TimePoint LastHeartbeatAt_{};
   TimePoint LastLeaderUpdateAt_{};
 };
--- a/Libraries/LibRegistry/FleetEvidence.cpp
+++ b/Libraries/LibRegistry/FleetEvidence.cpp
@@ -5,14 +5,18 @@
 namespace jaybridge {
 
 bool FleetEvidence::record(const std::vector<AttemptCounts> &Attempts,
-                           const RequestEvidence &Requests, TimePoint Now) {
+                           const RequestEvidence &Requests,
+                           const ServiceRegistry &Registry, TimePoint Now) {
   bool IsUrgent = !Requests.isEmpty();
   for (const AttemptCounts &Counts : Attempts) {
-    Outliers_.record(Counts, Now);
+    const InstanceRecord *Record = Registry.find(Counts.Id_);
+    if (!Record)
+      continue;
+    Outliers_.record(Counts, Record->Service_, Now);
     AttemptCounts &Sum = NewAttempts_[Counts.Id_];
     Sum.Id_ = Counts.Id_;
     Sum += Counts;
-    IsUrgent = IsUrgent || Counts.hasFailure();
+    IsUrgent = IsUrgent || Counts.isUrgent();
   }
   // A member without a leader keeps no more than the leader would.
   if (NewRequests_.Lost_.size() >= RequestQuarantine::MaxObserved)
--- a/Libraries/LibRegistry/FleetEvidence.h
+++ b/Libraries/LibRegistry/FleetEvidence.h
@@ -16,7 +16,8 @@
 public:
   /// Records a report. Returns whether the leader should get it at once.
   bool record(const std::vector<AttemptCounts> &Attempts,
-              const RequestEvidence &Requests, TimePoint Now);
+              const RequestEvidence &Requests, const ServiceRegistry &Registry,
+              TimePoint Now);
   /// Discards the outcomes of an instance that restarted or left.
   void forget(const InstanceId &Id) { Outliers_.forget(Id); }
 
--- a/Libraries/LibRegistry/OutlierDetector.h
+++ b/Libraries/LibRegistry/OutlierDetector.h
@@ -17,9 +17,15 @@
 /// probing a service whose requests must not be repeated costs a caller's
 /// request. After the ejection the instance is judged with cleared counts.
 ///
-/// Ejections end sooner where a large share of a service is ejected or fails:
-/// the capacity of its instances is then worth more than the requests that are
-/// lost by probing them.
+/// Ejections end sooner where the remaining instances cannot carry the load, or
+/// where much of a service fails: the capacity of its instances is then worth
+/// more than the requests that are lost by probing them.
+///
+/// An attempt that is open far longer than its like counts as lost before it
+/// ends, as far as such attempts of the service usually are lost. If it is
+/// answered after all, the ejection for it ends. When most instances of a
+/// service have such attempts, the service is slow as a whole and they eject
+/// nobody.
 ///
 /// The floor protects healthy capacity. An instance most of whose attempts fail
 /// is not healthy capacity, so that any number of such instances may be
@@ -54,9 +60,19 @@
   /// Applies where a large share of a service is ejected or fails.
   static constexpr Duration MinEjectionDuration = 2s;
   static constexpr Duration MaxEjectionDuration = 12s;
-  /// Share of a service's instances above which proven ejections end after
-  /// MinEjectionDuration.
-  static constexpr double MaxProvenEjectedShare = 0.125;
+  /// Above one of these, proven ejections end after MinEjectionDuration, the
+  /// oldest first: the share of a service's instances that they take, and the
+  /// share of the slots in use of the others.
+  static constexpr double MaxProvenEjectedShare = 0.4;
+  static constexpr double MaxSlotUse = 0.6;
+  /// Share of a service's instances with overdue attempts from which on the
+  /// service is slow as a whole.
+  static constexpr double SlowServiceShare = 0.5;
+  /// Share of overdue attempts without an answer from which on an overdue
+  /// attempt counts like a lost one.
+  static constexpr double CredibleShare = 0.5;
+  /// Half-life of what is known about the overdue attempts of a service.
+  static constexpr Duration CredibilityHalfLife = 15s;
   /// Share of failed attempts of a service above which each instance is needed
   /// and ejections end after MinEjectionDuration. Platforms that check that
   /// healthy instances are in use do so from a share of one tenth on.
@@ -65,7 +81,8 @@
   /// ejected for BaseEjectionDuration again.
   static constexpr Duration ProbationDuration = 2500ms;
 
-  void record(const AttemptCounts &Counts, TimePoint Now);
+  void record(const AttemptCounts &Counts, const ServiceName &Service,
+              TimePoint Now);
   void forget(const InstanceId &Id) { Instances_.erase(Id); }
 
   bool isEjected(const InstanceId &Id, TimePoint Now) const;
@@ -92,6 +109,12 @@
     bool IsProven_ = false;
     /// Only failed connects were reported since the previous ejection.
     bool IsDown_ = false;
+    /// Attempts that are overdue and still open, and the part of Failures_ that
+    /// they caused.
+    double OpenCount_ = 0;
+    double Open_ = 0;
+    /// Without that part the instance would not have been ejected.
+    bool IsEjectedForOpen_ = false;
 
     double failures() const { return Failures_ + Unreachable_; }
     double total() const { return failures() + Successes_; }
@@ -100,14 +123,47 @@
     double Failures_ = 0;
     double Total_ = 0;
   };
+  /// What the reports say about a service, as decaying sums.
+  class ServiceTrend {
+  public:
+    void record(const AttemptCounts &Counts, TimePoint Now);
+    /// Weight of an overdue attempt, relative to a lost one.
+    double overdueWeight() const;
+    /// Mean number of slots in use, by Little's law.
+    double slotsInUse(TimePoint Now) const;
+
+  private:
+    // Start as if two of four overdue attempts had been answered.
+    double AnsweredLate_ = 2;
+    double NeverAnswered_ = 2;
+    double ServiceSeconds_ = 0;
+    TimePoint UpdatedAt_{};
+  };
   struct ServicePool {
     /// Serving instances without a proven failure, ejected or not.
     std::size_t UnprovenCount_ = 0;
     std::vector<InstanceId> ProvenEjected_;
     std::vector<InstanceId> UnprovenEjected_;
+    /// Slots of all serving instances that are not down.
+    double Slots_ = 0;
+    double ProvenEjectedSlots_ = 0;
+    /// Mean number of slots in use.
+    double SlotsInUse_ = 0;
+
+    bool hasRoomWithoutProven() const;
   };
 
   static void eject(InstanceHealth &Health, TimePoint Now);
+  static void startProbation(InstanceHealth &Health);
+  /// Counts attempts that became overdue.
+  static void addOverdue(InstanceHealth &Health, EventCount Overdue,
+                         double Weight);
+  /// Takes back what overdue attempts counted that have now ended.
+  static void settleOverdue(InstanceHealth &Health, const AttemptCounts &Counts,
+                            TimePoint Now);
+  static bool isFailing(const InstanceHealth &Health, double Failures);
+  /// Ends the ejections for open attempts in services that are slow as a whole.
+  void releaseSlowServices(const ServiceRegistry &Registry, TimePoint Now);
   /// Keeps the permitted number of ejections with the highest share of failures
   /// and reverts the others.
   void limitUnproven(std::vector<InstanceId> &Ejected, std::size_t Permitted,
@@ -117,9 +173,11 @@
   void releaseInDegradedServices(const ServiceRegistry &Registry,
                                  TimePoint Now);
   /// Ends the oldest proven ejections of a service that has too many of them.
-  void releaseOldest(ServicePool &Pool, TimePoint Now);
+  void releaseOldest(ServicePool &Pool, const ServiceRegistry &Registry,
+                     TimePoint Now);
 
   std::map<InstanceId, InstanceHealth> Instances_;
+  std::map<ServiceName, ServiceTrend> Trends_;
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRegistry/RegistrySubscription.cpp
+++ b/Libraries/LibRegistry/RegistrySubscription.cpp
@@ -18,31 +18,36 @@
   return std::find(List.begin(), List.end(), Request) != List.end();
 }
 
-/// Counts the outcome of one attempt; none if it doesn't indicate the health of
-/// the instance.
-std::optional<AttemptCounts> countAttempt(const ReportAttempt &Attempt) {
+/// Counts the outcome of one attempt, or nothing if the outcome doesn't
+/// indicate the health of the instance.
+AttemptCounts countAttempt(const ReportAttempt &Attempt) {
   AttemptCounts Counts;
   Counts.Id_ = Attempt.Instance_;
+  constexpr EventCount One(1);
+  bool IsAnswered = false;
   switch (Attempt.Result_) {
   case AttemptResult::Answered:
+    IsAnswered = true;
+    Counts.ServiceTime_ = Attempt.Elapsed_;
     (Attempt.Status_ >= MinServerErrorStatus ? Counts.Errors_
-                                             : Counts.Successes_) =
-        EventCount(1);
-    return Counts;
+                                             : Counts.Successes_) = One;
+    break;
   case AttemptResult::ConnectFailed:
-    Counts.Unreachable_ = EventCount(1);
-    return Counts;
+    Counts.Unreachable_ = One;
+    break;
   case AttemptResult::ConnectionLost:
   case AttemptResult::ResponseTruncated:
   case AttemptResult::TimedOut:
-    Counts.Lost_ = EventCount(1);
-    return Counts;
+    Counts.Lost_ = One;
+    break;
   case AttemptResult::RefusedNotRun:
   case AttemptResult::ResponseTooLarge:
   case AttemptResult::Cancelled:
-    return std::nullopt;
+    break;
   }
-  return std::nullopt;
+  if (Attempt.WasOverdue_)
+    (IsAnswered ? Counts.AnsweredLate_ : Counts.NeverAnswered_) = One;
+  return Counts;
 }
 
 } // namespace
@@ -55,11 +60,15 @@
 }
 
 void RegistrySubscriptionState::advance(TimePoint Now, Effects &Out) {
-  if (Now >= SwitchMemberAt_ ||
-      (Now >= NextRenewal_ && IsConfirmed_ && hasNearerMember(Now)))
+  if (Now >= SwitchMemberAt_) {
     switchMember(Now, Out);
-  else if (Now >= NextRenewal_)
+  } else if (Now >= NextRenewal_ && IsConfirmed_ && hasNearerMember(Now)) {
+    FollowDuration_ =
+        std::min(2 * FollowDuration_, Settings_.MaxFollowDuration_);
+    switchMember(Now, Out);
+  } else if (Now >= NextRenewal_) {
     subscribe(Now, Out);
+  }
   if (NextReport_ && Now >= *NextReport_)
     sendReport(Out);
 }
@@ -132,22 +141,27 @@
 void RegistrySubscriptionState::subscribe(TimePoint Now, Effects &Out) {
   NextRenewal_ = Now + Settings_.RenewInterval_;
   if (FollowedMember_)
-    Out.emplace_back(SendSubscription{
-        *FollowedMember_,
-        SubscribeRequest{Revision_, Version_, digestOf(Members_)}});
+    Out.emplace_back(SendSubscription{*FollowedMember_,
+                                      SubscribeRequest{Revision_, Version_,
+                                                       digestOf(Members_),
+                                                       Ejections_.digest()}});
+}
+
+bool RegistrySubscriptionState::isNear(const MemberId &Member) const {
+  return std::any_of(
+      Members_.begin(), Members_.end(), [&](const ControlMember &Known) {
+        return Known.Id_ == Member && Known.Domain_ == Settings_.Domain_;
+      });
 }
 
 bool RegistrySubscriptionState::hasNearerMember(TimePoint Now) const {
-  if (Now < ConfirmedAt_ + Settings_.MinFollowDuration_)
+  if (Now < ConfirmedAt_ + FollowDuration_ || !FollowedMember_ ||
+      isNear(*FollowedMember_))
     return false;
-  bool IsNear = false;
-  bool HasNear = false;
-  for (const ControlMember &Member : Members_)
-    if (Member.Domain_ == Settings_.Domain_) {
-      HasNear = true;
-      IsNear = IsNear || Member.Id_ == FollowedMember_;
-    }
-  return HasNear && !IsNear;
+  return std::any_of(Members_.begin(), Members_.end(),
+                     [&](const ControlMember &Known) {
+                       return Known.Domain_ == Settings_.Domain_;
+                     });
 }
 
 void RegistrySubscriptionState::confirmMember(const MemberId &From,
@@ -155,6 +169,8 @@
   SwitchMemberAt_ = Now + Settings_.MemberTimeout_;
   HasEverBeenConfirmed_ = true;
   Candidates_.clear();
+  if (isNear(From))
+    FollowDuration_ = Settings_.MinFollowDuration_;
   if (IsConfirmed_)
     return;
   IsConfirmed_ = true;
@@ -162,6 +178,14 @@
   Out.emplace_back(ControlMemberChanged{From});
 }
 
+bool RegistrySubscriptionState::continues(const RegistryUpdate &Update) const {
+  if (!Update.BaseRevision_ || *Update.BaseRevision_ == Revision_)
+    return true;
+  // The answer to a request may repeat changes that arrived in the meantime.
+  // Records and documents are whole, so that applying them twice is harmless.
+  return *Update.BaseRevision_ < Revision_ && !Update.Delta_;
+}
+
 bool RegistrySubscriptionState::acceptUpdate(const MemberId &From,
                                              const RegistryUpdate &Update,
                                              TimePoint Now, Effects &Out) {
@@ -171,8 +195,7 @@
   if (FollowedMember_ != From && (IsConfirmed_ || Update.BaseRevision_))
     return false;
   FollowedMember_ = From;
-  if (Update.BaseRevision_ ? *Update.BaseRevision_ != Revision_
-                           : Update.Revision_ < Revision_) {
+  if (Update.Revision_ < Revision_ || !continues(Update)) {
     resynchronize(Now, Out);
     return false;
   }
@@ -220,7 +243,9 @@
   confirmMember(From, Now, Out);
   if (!Heartbeat.Members_.empty())
     Members_ = Heartbeat.Members_;
-  applyEjections(Heartbeat.EjectedInstances_, Now, Out);
+  if (!Ejections_.apply(Heartbeat.Ejections_))
+    resynchronize(Now, Out);
+  renewEjections(Now, Out);
   applyVerdicts(Heartbeat.Requests_, Now, Out);
 }
 
@@ -234,20 +259,21 @@
     switchMember(Now, Out);
 }
 
-void RegistrySubscriptionState::applyEjections(
-    const std::vector<InstanceId> &Ejected, TimePoint Now, Effects &Out) {
+void RegistrySubscriptionState::renewEjections(TimePoint Now, Effects &Out) {
   std::map<ServiceName, std::vector<InstanceId>> ByService;
-  for (const InstanceId &Id : Ejected)
+  for (const InstanceId &Id : Ejections_.instances())
     if (auto Known = Instances_.find(Id); Known != Instances_.end())
       ByService[Known->second.Service_].push_back(Id);
   // A service whose last ejection ended is sent once, with an empty list.
-  for (const auto &[Name, Previous] : EjectedInstances_)
+  for (const ServiceName &Name : ServicesWithEjections_)
     ByService.try_emplace(Name);
-  for (const auto &[Name, Instances] : ByService)
-    Out.emplace_back(EjectionsChanged{Name, Instances, Now + EjectionLifetime});
-  std::erase_if(ByService,
-                [](const auto &Entry) { return Entry.second.empty(); });
-  EjectedInstances_ = std::move(ByService);
+  ServicesWithEjections_.clear();
+  for (auto &[Name, Instances] : ByService) {
+    if (!Instances.empty())
+      ServicesWithEjections_.insert(Name);
+    Out.emplace_back(
+        EjectionsChanged{Name, std::move(Instances), Now + EjectionLifetime});
+  }
 }
 
 void RegistrySubscriptionState::applyVerdicts(const RequestVerdicts &Verdicts,
@@ -292,14 +318,24 @@
 void RegistrySubscriptionState::recordAttempt(const ReportAttempt &Attempt,
                                               TimePoint Now) {
   recordRequest(Attempt, Now);
-  std::optional<AttemptCounts> Counts = countAttempt(Attempt);
-  if (!Counts)
-    return;
-  AttemptCounts &Sum = Attempts_[Attempt.Instance_];
-  Sum.Id_ = Attempt.Instance_;
-  Sum += *Counts;
-  scheduleReport(Counts->hasFailure() ? Settings_.FailureReportDelay_
-                                      : Settings_.SuccessReportDelay_,
+  countForReport(countAttempt(Attempt), Now);
+}
+
+void RegistrySubscriptionState::recordOverdue(const ReportOverdue &Overdue,
+                                              TimePoint Now) {
+  AttemptCounts Counts;
+  Counts.Id_ = Overdue.Instance_;
+  Counts.Overdue_ = EventCount(1);
+  countForReport(Counts, Now);
+}
+
+void RegistrySubscriptionState::countForReport(const AttemptCounts &Counts,
+                                               TimePoint Now) {
+  AttemptCounts &Sum = Attempts_[Counts.Id_];
+  Sum.Id_ = Counts.Id_;
+  Sum += Counts;
+  scheduleReport(Counts.isUrgent() ? Settings_.FailureReportDelay_
+                                   : Settings_.SuccessReportDelay_,
                  Now);
 }
 
--- a/Libraries/LibRegistry/RegistrySubscription.h
+++ b/Libraries/LibRegistry/RegistrySubscription.h
@@ -28,9 +28,11 @@
   Duration RenewInterval_ = 1s;
   /// Minimum time between requests for missed changes.
   Duration ResynchronizeInterval_ = 500ms;
-  /// Minimum time that a member in another failure domain is followed, so that
-  /// a nearer member that doesn't respond is not tried constantly.
-  Duration MinFollowDuration_ = 3s;
+  /// Minimum time that a member in another failure domain is followed. It
+  /// doubles with each nearer member that turns out not to be current, so that
+  /// such a member is not tried constantly.
+  Duration MinFollowDuration_ = 500ms;
+  Duration MaxFollowDuration_ = 4s;
   /// Delays after which successful and failed attempts are reported, so that
   /// several outcomes share a report.
   Duration SuccessReportDelay_ = 1s;
@@ -43,7 +45,8 @@
 };
 
 using RegistrySubscriptionEvent =
-    std::variant<SubscriptionReceived, ReportAttempt, ReportRetry>;
+    std::variant<SubscriptionReceived, ReportAttempt, ReportRetry,
+                 ReportOverdue>;
 using RegistrySubscriptionEffect =
     std::variant<SendSubscription, RoutingChanged, InstanceChanged,
                  EjectionsChanged, FingerprintsQuarantined, RetriesGranted,
@@ -62,11 +65,13 @@
 
   RegistrySubscriptionState(RegistrySubscriptionSettings Settings,
                             RandomSeed Seed)
-      : Settings_(std::move(Settings)), Random_(Seed) {}
+      : Settings_(std::move(Settings)), Random_(Seed),
+        FollowDuration_(Settings_.MinFollowDuration_) {}
 
   void advance(TimePoint Now, Effects &Out);
   std::optional<TimePoint> nextDeadline() const;
   void recordAttempt(const ReportAttempt &Attempt, TimePoint Now);
+  void recordOverdue(const ReportOverdue &Overdue, TimePoint Now);
   /// Requests a replacement with the next report.
   void recordRetrySpent(const ReportRetry &Spent, TimePoint Now);
   /// Passes on granted retries, at most the number that was spent.
@@ -87,10 +92,14 @@
   ConfigurationVersion version() const { return Version_; }
 
 private:
+  /// Returns whether the update leaves no gap after the current revision.
+  bool continues(const RegistryUpdate &Update) const;
   /// Marks the followed member as confirmed and restarts its timeout.
   void confirmMember(const MemberId &From, TimePoint Now, Effects &Out);
+  /// Returns whether the member is known to be in this failure domain.
+  bool isNear(const MemberId &Member) const;
   /// Returns whether the followed member is in another failure domain although
-  /// a member in this domain is known.
+  /// a member in this domain is known, and was followed for long enough.
   bool hasNearerMember(TimePoint Now) const;
   /// Follows the next candidate.
   void switchMember(TimePoint Now, Effects &Out);
@@ -98,12 +107,14 @@
   void resynchronize(TimePoint Now, Effects &Out);
   void subscribe(TimePoint Now, Effects &Out);
   void sendReport(Effects &Out);
-  void applyEjections(const std::vector<InstanceId> &Ejected, TimePoint Now,
-                      Effects &Out);
+  /// Passes on the ejected instances, which are valid for a limited time.
+  void renewEjections(TimePoint Now, Effects &Out);
   void applyVerdicts(const RequestVerdicts &Verdicts, TimePoint Now,
                      Effects &Out);
   /// Keeps what the attempt says about its request for the next report.
   void recordRequest(const ReportAttempt &Attempt, TimePoint Now);
+  /// Adds the counts to the next report.
+  void countForReport(const AttemptCounts &Counts, TimePoint Now);
   /// Sends the next report after at most this delay.
   void scheduleReport(Duration Delay, TimePoint Now);
   /// Returns the known members and seeds, the preferred one last.
@@ -121,13 +132,17 @@
   bool IsConfirmed_ = false;
   bool HasEverBeenConfirmed_ = false;
   TimePoint ConfirmedAt_{};
+  /// Time after which a nearer member is tried.
+  Duration FollowDuration_{};
   TimePoint SwitchMemberAt_{};
   TimePoint NextRenewal_{};
   TimePoint NextResynchronization_{};
   LogIndex Revision_;
   ConfigurationVersion Version_;
   std::map<InstanceId, InstanceRecord> Instances_;
-  std::map<ServiceName, std::vector<InstanceId>> EjectedInstances_;
+  EjectionSet Ejections_;
+  /// Services whose ejected instances were passed on last.
+  std::set<ServiceName> ServicesWithEjections_;
   std::map<InstanceId, AttemptCounts> Attempts_;
   std::map<ServiceName, EventCount> SpentRetries_;
   RequestEvidence RequestEvidence_;
@@ -159,6 +174,9 @@
   void on(const ReportAttempt &Attempt, TimePoint Now, Effects &) {
     State_.recordAttempt(Attempt, Now);
   }
+  void on(const ReportOverdue &Overdue, TimePoint Now, Effects &) {
+    State_.recordOverdue(Overdue, Now);
+  }
   void on(const ReportRetry &Spent, TimePoint Now, Effects &) {
     State_.recordRetrySpent(Spent, Now);
   }
--- a/Libraries/LibRegistry/SubscriptionMessages.h
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibRegistry/EjectionSet.h>
 #include <LibRegistry/RegistryCommand.h>
 
 #include <LibCore/Hash.h>
@@ -44,19 +45,32 @@
   /// No connection could be opened.
   EventCount Unreachable_;
   EventCount Successes_;
+  /// Attempts that became overdue. Those that end are counted by their outcome
+  /// too, and in one of the next two.
+  EventCount Overdue_;
+  EventCount AnsweredLate_;
+  EventCount NeverAnswered_;
+  /// Sum of the times of the attempts that were answered.
+  Duration ServiceTime_{};
 
   AttemptCounts &operator+=(const AttemptCounts &Added) {
     Lost_ += Added.Lost_;
     Errors_ += Added.Errors_;
     Unreachable_ += Added.Unreachable_;
     Successes_ += Added.Successes_;
+    Overdue_ += Added.Overdue_;
+    AnsweredLate_ += Added.AnsweredLate_;
+    NeverAnswered_ += Added.NeverAnswered_;
+    ServiceTime_ += Added.ServiceTime_;
     return *this;
   }
   EventCount total() const {
     return Lost_ + Errors_ + Unreachable_ + Successes_;
   }
-  bool hasFailure() const {
-    return Lost_ + Errors_ + Unreachable_ > EventCount(0);
+  /// True when the counts may change which instances are ejected.
+  bool isUrgent() const {
+    return Lost_ + Errors_ + Unreachable_ + Overdue_ + AnsweredLate_ >
+           EventCount(0);
   }
 };
 
@@ -102,6 +116,8 @@
   ConfigurationVersion Version_;
   /// Digest of the member list that the gateway has.
   MemberListDigest Members_;
+  /// Digest of the ejected instances that the gateway knows.
+  EjectionDigest Ejections_{};
 };
 
 /// A gateway's attempts since its last report, and its retries to replace.
@@ -131,7 +147,9 @@
 /// has applied.
 struct RegistryHeartbeat {
   LogIndex Revision_;
-  std::vector<InstanceId> EjectedInstances_;
+  /// Since the previous heartbeat; the whole list for a receiver that knows
+  /// another one.
+  EjectionChange Ejections_;
   /// Omitted if the receiver has the same list.
   std::vector<ControlMember> Members_;
   RequestVerdicts Requests_{};
@@ -147,11 +165,16 @@
   FailureDomain Domain_;
   std::vector<AttemptCounts> Instances_;
   RequestEvidence Requests_{};
+  /// The follower's lists are not those that the leader stated last.
+  bool NeedsWholeLists_ = false;
 };
 
 /// The leader's decisions, which its followers pass on to their subscribers.
 struct LeaderUpdate {
-  std::vector<InstanceId> EjectedInstances_;
+  /// Since the previous update, or the whole list.
+  EjectionChange Ejections_;
+  MemberListDigest MembersDigest_;
+  /// Omitted unless the list has changed or the follower needs it.
   std::vector<ControlMember> Members_;
   RequestVerdicts Requests_{};
 };
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -127,16 +127,36 @@
 }
 
 json write(const AttemptCounts &Counts) {
-  return json::array({Counts.Id_.text(), Counts.Lost_.value(),
-                      Counts.Errors_.value(), Counts.Unreachable_.value(),
-                      Counts.Successes_.value()});
+  json List = json::array(
+      {Counts.Id_.text(), Counts.Lost_.value(), Counts.Errors_.value(),
+       Counts.Unreachable_.value(), Counts.Successes_.value(),
+       std::chrono::ceil<std::chrono::milliseconds>(Counts.ServiceTime_)
+           .count()});
+  if (Counts.Overdue_ + Counts.AnsweredLate_ + Counts.NeverAnswered_ >
+      EventCount(0))
+    for (EventCount Count :
+         {Counts.Overdue_, Counts.AnsweredLate_, Counts.NeverAnswered_})
+      List.push_back(Count.value());
+  return List;
 }
 AttemptCounts readAttemptCounts(const json &Value) {
+  // Earlier versions of the protocol send fewer counts.
   auto Count = [&](std::size_t Index) {
-    return EventCount(Value.at(Index).get<std::uint64_t>());
+    return EventCount(
+        Index < Value.size() ? Value.at(Index).get<std::uint64_t>() : 0);
   };
-  return {InstanceId(Value.at(0).get<std::string>()), Count(1), Count(2),
-          Count(3), Count(4)};
+  AttemptCounts Counts{InstanceId(Value.at(0).get<std::string>()),
+                       EventCount(Value.at(1).get<std::uint64_t>()),
+                       Count(2),
+                       Count(3),
+                       Count(4),
+                       Count(6),
+                       Count(7),
+                       Count(8)};
+  constexpr std::uint64_t MaxServiceMilliseconds = 86'400'000;
+  Counts.ServiceTime_ = std::chrono::milliseconds(
+      std::min(Count(5).value(), MaxServiceMilliseconds));
+  return Counts;
 }
 
 json write(const RetryCount &Count) {
@@ -190,6 +210,24 @@
   return Items;
 }
 
+json write(const EjectionChange &Change) {
+  json List = json::array({Change.Result_.value()});
+  if (Change.Base_ == Change.Result_)
+    return List;
+  List.push_back(Change.Base_.value());
+  List.push_back(writeAll(Change.Added_));
+  List.push_back(writeAll(Change.Removed_));
+  return List;
+}
+EjectionChange readEjections(const json &Value) {
+  const EjectionDigest Result(Value.at(0).get<std::uint64_t>());
+  if (Value.size() == 1)
+    return {Result, Result, {}, {}};
+  return {EjectionDigest(Value.at(1).get<std::uint64_t>()), Result,
+          readAll(Value.at(2), readInstanceId),
+          readAll(Value.at(3), readInstanceId)};
+}
+
 /// Adds both lists to a message unless they are empty, as they usually are.
 template <typename Lists, typename First, typename Second>
 void appendUnlessEmpty(json &Message, const Lists &Value, First Lists::*One,
@@ -302,7 +340,10 @@
     return SubscribeRequest{
         LogIndex(Value.at(1).get<std::uint64_t>()),
         ConfigurationVersion(Value.at(2).get<std::uint64_t>()),
-        MemberListDigest(Value.at(3).get<std::uint64_t>())};
+        MemberListDigest(Value.at(3).get<std::uint64_t>()),
+        // Earlier versions of the protocol do not send it.
+        EjectionDigest(Value.size() > 4 ? Value.at(4).get<std::uint64_t>()
+                                        : 0)};
   case Tag::AttemptReport:
     return AttemptReport{readAll(Value.at(1), readAttemptCounts),
                          readAll(Value.at(2), readRetryCount),
@@ -319,18 +360,18 @@
                           readAll(Value.at(5), readInstance),
                           readAll(Value.at(6), readMember)};
   case Tag::RegistryHeartbeat:
-    return RegistryHeartbeat{LogIndex(Value.at(1).get<std::uint64_t>()),
-                             readAll(Value.at(2), readInstanceId),
-                             readAll(Value.at(3), readMember),
-                             readVerdicts(Value, 4)};
+    return RegistryHeartbeat{
+        LogIndex(Value.at(1).get<std::uint64_t>()), readEjections(Value.at(2)),
+        readAll(Value.at(3), readMember), readVerdicts(Value, 4)};
   case Tag::FollowerReport:
     return FollowerReport{FailureDomain(Value.at(1).get<std::string>()),
                           readAll(Value.at(2), readAttemptCounts),
-                          readEvidence(Value, 3)};
+                          readEvidence(Value, 4), Value.at(3).get<bool>()};
   case Tag::LeaderUpdate:
-    return LeaderUpdate{readAll(Value.at(1), readInstanceId),
+    return LeaderUpdate{readEjections(Value.at(1)),
+                        MemberListDigest(Value.at(3).get<std::uint64_t>()),
                         readAll(Value.at(2), readMember),
-                        readVerdicts(Value, 3)};
+                        readVerdicts(Value, 4)};
   default:
     throw json::other_error::create(501, "unknown kind of message", nullptr);
   }
@@ -362,6 +403,7 @@
             List.push_back(Request.Revision_.value());
             List.push_back(Request.Version_.value());
             List.push_back(Request.Members_.value());
+            List.push_back(Request.Ejections_.value());
             return List;
           },
           [](const AttemptReport &Report) {
@@ -392,7 +434,7 @@
           [](const RegistryHeartbeat &Heartbeat) {
             json List = taggedArray(Tag::RegistryHeartbeat);
             List.push_back(Heartbeat.Revision_.value());
-            List.push_back(writeAll(Heartbeat.EjectedInstances_));
+            List.push_back(write(Heartbeat.Ejections_));
             List.push_back(writeAll(Heartbeat.Members_));
             append(List, Heartbeat.Requests_);
             return List;
@@ -401,13 +443,15 @@
             json List = taggedArray(Tag::FollowerReport);
             List.push_back(Report.Domain_.text());
             List.push_back(writeAll(Report.Instances_));
+            List.push_back(Report.NeedsWholeLists_);
             append(List, Report.Requests_);
             return List;
           },
           [](const LeaderUpdate &Update) {
             json List = taggedArray(Tag::LeaderUpdate);
-            List.push_back(writeAll(Update.EjectedInstances_));
+            List.push_back(write(Update.Ejections_));
             List.push_back(writeAll(Update.Members_));
+            List.push_back(Update.MembersDigest_.value());
             append(List, Update.Requests_);
             return List;
           },
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -144,6 +144,9 @@
   Sinks.Observe_ = [this](ReportAttempt Attempt) {
     observeAttempt(std::move(Attempt));
   };
+  Sinks.Overdue_ = [this](ReportOverdue Overdue) {
+    postToSubscription(std::move(Overdue));
+  };
   Sinks.RetrySpent_ = [this](ReportRetry Spent) {
     postToSubscription(std::move(Spent));
   };
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -193,6 +193,9 @@
               auto Decoded = decodeSubscriptionMessage(
                   encodeSubscriptionMessage(Send.Message_));
               ASSERT_TRUE(Decoded);
+              const auto *Update =
+                  std::get_if<RegistryUpdate>(&Decoded.value());
+              FullUpdateCount_ += Update && !Update->BaseRevision_ ? 1 : 0;
               Messages_.push_back(Message{Now_ + MessageLatency, member(Index),
                                           Send.To_, Decoded.takeValue()});
             },
@@ -240,6 +243,9 @@
             [&](ControlMemberChanged &Changed) {
               Updated.FollowedMember_ = Changed.Member_;
             },
+            [&](EjectionsChanged &Changed) {
+              Updated.Ejected_[Changed.Service_] = std::move(Changed.Ejected_);
+            },
             [&](FingerprintsQuarantined &Changed) {
               Updated.CrashingRequests_ = std::move(Changed);
             },
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -68,6 +68,9 @@
   void finishAttempt(std::size_t Gateway, const ReportAttempt &Attempt);
   void spendRetry(std::size_t Gateway, const ServiceName &Service);
 
+  /// Updates with the whole registry that members sent to gateways.
+  std::size_t fullUpdateCount() const { return FullUpdateCount_; }
+
   /// Returns the index of the leader, or the number of members if there is
   /// none.
   std::size_t leader() const;
@@ -83,6 +86,7 @@
     std::optional<MemberId> FollowedMember_;
     EventCount RetriesGranted_;
     FingerprintsQuarantined CrashingRequests_;
+    std::map<ServiceName, std::vector<InstanceId>> Ejected_;
   };
   const View &view(std::size_t Index) const { return Views_[Index]; }
 
@@ -110,6 +114,7 @@
   RecoveredLog recover(Member &Restarted);
 
   TimePoint Now_{1h};
+  std::size_t FullUpdateCount_ = 0;
   std::vector<Member> Members_;
   std::vector<std::vector<PersistLog>> Writes_;
   std::vector<std::unique_ptr<Gateway>> Gateways_;
