LibRegistry: Repeat requests over connections that ended

Evidence: FindsAMemberAfterAllHaveRestarted; with the new event ignored no gateway has a member 0.8 s after the election. Change: the subscription learns that the connection to its member ended and repeats its request, at most every 0.1 s. A member that lies behind a gateway says that it is stale instead of saying nothing.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -202,8 +202,10 @@
         PendingSubscribers_[From] = {Request, Now};
       return send(From, RegistryStale{}, Out);
     }
-    if (Request.Revision_ > Revision_ ||
-        !Subscribers_.renew(From, Request.Revision_, Now))
+    // A member that has restarted may lie behind its former subscribers.
+    if (Request.Revision_ > Revision_)
+      return send(From, RegistryStale{}, Out);
+    if (!Subscribers_.renew(From, Request.Revision_, Now))
       return;
     if (Request.Revision_ == Revision_ && Revision_ > LogIndex()) {
       RegistryHeartbeat Heartbeat = firstHeartbeat();
--- a/Libraries/LibRegistry/RegistrySubscription.cpp
+++ b/Libraries/LibRegistry/RegistrySubscription.cpp
@@ -249,6 +249,15 @@
   applyVerdicts(Heartbeat.Requests_, Now, Out);
 }
 
+void RegistrySubscriptionState::handleConnectionLost(const MemberId &Member,
+                                                     TimePoint Now,
+                                                     Effects &Out) {
+  if (FollowedMember_ != Member || Now < NextReconnection_)
+    return;
+  NextReconnection_ = Now + Settings_.ReconnectInterval_;
+  subscribe(Now, Out);
+}
+
 void RegistrySubscriptionState::handleStale(const MemberId &From, TimePoint Now,
                                             Effects &Out) {
   // A gateway without any data stays with its member: each member that it
--- a/Libraries/LibRegistry/RegistrySubscription.h
+++ b/Libraries/LibRegistry/RegistrySubscription.h
@@ -28,6 +28,9 @@
   Duration RenewInterval_ = 1s;
   /// Minimum time between requests for missed changes.
   Duration ResynchronizeInterval_ = 500ms;
+  /// Minimum time between requests that are repeated because the connection
+  /// was lost.
+  Duration ReconnectInterval_ = 100ms;
   /// Minimum time that a member in another failure domain is followed. It
   /// doubles with each nearer member that turns out not to be current, so that
   /// such a member is not tried constantly.
@@ -44,9 +47,14 @@
   std::optional<MemberId> Member_;
 };
 
+/// The connection to a control member ended; messages to it may be lost.
+struct MemberConnectionLost {
+  MemberId Member_;
+};
+
 using RegistrySubscriptionEvent =
-    std::variant<SubscriptionReceived, ReportAttempt, ReportRetry,
-                 ReportOverdue>;
+    std::variant<SubscriptionReceived, MemberConnectionLost, ReportAttempt,
+                 ReportRetry, ReportOverdue>;
 using RegistrySubscriptionEffect =
     std::variant<SendSubscription, RoutingChanged, InstanceChanged,
                  EjectionsChanged, FingerprintsQuarantined, RetriesGranted,
@@ -86,6 +94,10 @@
   void applyInstances(const RegistryUpdate &Update, Effects &Out);
   void handleHeartbeat(const MemberId &From, const RegistryHeartbeat &Heartbeat,
                        TimePoint Now, Effects &Out);
+  /// Repeats the request if it may have been lost: the connections to members
+  /// that have restarted end with the first message.
+  void handleConnectionLost(const MemberId &Member, TimePoint Now,
+                            Effects &Out);
   /// Switches to another member if the sender is the followed one.
   void handleStale(const MemberId &From, TimePoint Now, Effects &Out);
   void setVersion(ConfigurationVersion Version) { Version_ = Version; }
@@ -137,6 +149,7 @@
   TimePoint SwitchMemberAt_{};
   TimePoint NextRenewal_{};
   TimePoint NextResynchronization_{};
+  TimePoint NextReconnection_{};
   LogIndex Revision_;
   ConfigurationVersion Version_;
   std::map<InstanceId, InstanceRecord> Instances_;
@@ -180,6 +193,9 @@
   void on(const ReportRetry &Spent, TimePoint Now, Effects &) {
     State_.recordRetrySpent(Spent, Now);
   }
+  void on(const MemberConnectionLost &Lost, TimePoint Now, Effects &Out) {
+    State_.handleConnectionLost(Lost.Member_, Now, Out);
+  }
   void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out) {
     if (const auto *Update = std::get_if<RegistryUpdate>(&Received.Message_)) {
       if (!State_.acceptUpdate(Received.From_, *Update, Now, Out))
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -68,6 +68,10 @@
     postToSubscription(
         SubscriptionReceived{std::move(From), std::move(Message)});
   };
+  Sinks.ConnectionLost_ = [this](const Endpoint &Address) {
+    postToSubscription(
+        MemberConnectionLost{RegistryPeers::memberIdOf(Address)});
+  };
   return Sinks;
 }
 
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -100,6 +100,12 @@
       Partitions_.erase(Pair);
 }
 
+void RegistryFleet::breakConnections() {
+  for (std::size_t Gateway = 0; Gateway < Gateways_.size(); ++Gateway)
+    for (std::size_t Member = 0; Member < Members_.size(); ++Member)
+      BrokenConnections_.insert({gateway(Gateway), member(Member)});
+}
+
 bool RegistryFleet::isPartitioned(const MemberId &From,
                                   const MemberId &To) const {
   return Partitions_.contains({From, To});
@@ -230,6 +236,9 @@
     std::visit(
         Overloaded{
             [&](SendSubscription &Send) {
+              if (BrokenConnections_.erase({gateway(Index), Send.To_}) > 0)
+                return handle(Index, RegistrySubscriptionEvent(
+                                         MemberConnectionLost{Send.To_}));
               Messages_.push_back(Message{Now_ + MessageLatency, gateway(Index),
                                           Send.To_, std::move(Send.Message_)});
             },
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -53,6 +53,10 @@
   void setPartitioned(const MemberId &Left, const MemberId &Right,
                       bool IsPartitioned);
 
+  /// Makes the connections of all gateways to all members end with the next
+  /// message, as after a restart of the members.
+  void breakConnections();
+
   ControlRequestId announce(std::size_t Member, const InstanceRecord &Record);
   ControlRequestId writeDocument(std::size_t Member, std::uint64_t Version,
                                  const std::string &Text);
@@ -115,6 +119,8 @@
 
   TimePoint Now_{1h};
   std::size_t FullUpdateCount_ = 0;
+  /// From a gateway to a member.
+  std::set<std::pair<MemberId, MemberId>> BrokenConnections_;
   std::vector<Member> Members_;
   std::vector<std::vector<PersistLog>> Writes_;
   std::vector<std::unique_ptr<Gateway>> Gateways_;
--- a/Tests/LibRegistry/TestRegistryFleet.cpp
+++ b/Tests/LibRegistry/TestRegistryFleet.cpp
@@ -95,6 +95,31 @@
         << "gateway " << Index;
 }
 
+// Guards against gateways that look for a control member in vain after all
+// members have restarted: the first message over each former connection is
+// lost. Departures that were acknowledged meanwhile reached gateways too late
+// in giliran-sel-grown drain-behind-restarts (seed 833441219151).
+TEST(RegistryFleetDomainTest, FindsAMemberAfterAllHaveRestarted) {
+  constexpr std::size_t MemberCount = 5;
+  constexpr std::size_t GatewayCount = 6;
+  RegistryFleet Fleet(MemberCount, GatewayCount);
+  Fleet.electAndAnnounce(instance());
+  Fleet.run(12s);
+  for (std::size_t Index = 0; Index < MemberCount; ++Index)
+    Fleet.stopMember(Index);
+  // The gateways notice it and have no member any more.
+  Fleet.run(2s);
+  Fleet.breakConnections();
+  for (std::size_t Index = 0; Index < MemberCount; ++Index)
+    Fleet.startMember(Index);
+  while (Fleet.leader() == MemberCount)
+    Fleet.run(10ms);
+  // A gateway may wait for the response of one member that was not current.
+  Fleet.run(800ms);
+  for (std::size_t Index = 0; Index < GatewayCount; ++Index)
+    EXPECT_TRUE(Fleet.view(Index).FollowedMember_) << "gateway " << Index;
+}
+
 class RegistryFleetTest : public testing::Test {
 protected:
   void SetUp() override {
