Tests/LibHTTP: Show a second copy of an answer on a kept connection

Reported by other operators: a server sent a second copy of an answer, late, on a connection that was in use again, and the next caller got it. What callers see: the same, in the product's own interface, where connections are kept and upstreams need not echo ids in successes. Evidence: RepeatedAnswerTest, row Other, fails. Tried and reverted: rejecting every response with another id. Gateways behind gateways answer with ids of their own; three rows of ConcurrencyTest failed.

--- a/Tests/LibHTTP/TestUpstreamClient.cpp
+++ b/Tests/LibHTTP/TestUpstreamClient.cpp
@@ -206,6 +206,41 @@
         RepeatedRefusalCase{"None", "", AttemptResult::ResponseTruncated}),
     CaseName());
 
+struct RepeatedAnswerCase {
+  const char *Name_;
+  std::string IdLine_;
+  AttemptResult Result_;
+};
+
+class RepeatedAnswerTest : public testing::TestWithParam<RepeatedAnswerCase> {};
+
+// Guards against a second copy of an earlier answer that the upstream writes on
+// a kept connection after the next request, whose caller would get it.
+TEST_P(RepeatedAnswerTest, IsNotTheAnswerToTheNextRequest) {
+  ClientFixture Fixture;
+  RawListener Upstream;
+  Fixture.send(Upstream.address(), "GET");
+  auto KeptAlive = Upstream.accept();
+  ASSERT_TRUE(KeptAlive);
+  KeptAlive->readMessage();
+  KeptAlive->send(okResponse("first"));
+  EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_, AttemptResult::Answered);
+  Fixture.send(Upstream.address(), "GET");
+  KeptAlive->readMessage();
+  KeptAlive->send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" +
+                  GetParam().IdLine_ + "\r\nfirst");
+  EXPECT_EQ(Fixture.nextFinished().Outcome_.Result_, GetParam().Result_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ids, RepeatedAnswerTest,
+    testing::Values(RepeatedAnswerCase{"Own", "Jaybridge-Request-Id: r\r\n",
+                                       AttemptResult::Answered},
+                    RepeatedAnswerCase{"Other",
+                                       "Jaybridge-Request-Id: earlier\r\n",
+                                       AttemptResult::ResponseTruncated}),
+    CaseName());
+
 // Guards against requests that fail because they are sent on an idle connection
 // that the upstream has closed.
 TEST(UpstreamClientTest, OpensConnectionAfterUpstreamClosedIdleOne) {
