LibRegistry: Answer a subscription in one place, with the members

Read again: the answer with the missed records repeated the end of the whole one and left out the members, so that a gateway which met changes on their way at each renewal did not learn them and stayed with a member of another domain. A gateway without any data got a change instead of the registry, which only the member that it follows may send. Change: one function builds both answers, with the members where the gateway's list differs; the whole registry for a gateway without data. New ejections are found once. A comment named the wrong interval. No test of its own yet for the members.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -217,31 +217,26 @@
             NotifiedEjections_.changeFrom(NotifiedEjections_);
       return send(From, std::move(Heartbeat), Out);
     }
-    if (auto Missed = History_.since(Request.Revision_))
-      return sendMissed(From, Request, std::move(*Missed), Out);
-    if (!Subscribers_.tryStartFullUpdate(From, Now))
-      return;
-    RegistryUpdate FullUpdate;
-    FullUpdate.Revision_ = Revision_;
-    if (Registry_.document() && Request.Version_ < Registry_.version())
-      FullUpdate.Document_ = Registry_.document();
-    for (const auto &[Id, Record] : Registry_.instances())
-      FullUpdate.Instances_.push_back(Record);
-    FullUpdate.Members_ = members();
-    send(From, std::move(FullUpdate), Out);
-    Subscribers_.recordSent(From, Revision_);
-    if (Request.Ejections_ != NotifiedEjections_.digest())
-      send(From, firstHeartbeat(), Out);
-  }
-
-  void sendMissed(const MemberId &From, const SubscribeRequest &Request,
-                  std::vector<InstanceRecord> Missed, Effects &Out) {
     RegistryUpdate Update;
-    Update.BaseRevision_ = Request.Revision_;
     Update.Revision_ = Revision_;
     if (Request.Version_ < Registry_.version())
       Update.Document_ = Registry_.document();
-    Update.Instances_ = std::move(Missed);
+    // A gateway without any data may follow whichever member sends it all.
+    std::optional<std::vector<InstanceRecord>> Missed;
+    if (Request.Revision_ > LogIndex())
+      Missed = History_.since(Request.Revision_);
+    if (Missed) {
+      Update.BaseRevision_ = Request.Revision_;
+      Update.Instances_ = std::move(*Missed);
+    } else {
+      if (!Subscribers_.tryStartFullUpdate(From, Now))
+        return;
+      for (const auto &[Id, Record] : Registry_.instances())
+        Update.Instances_.push_back(Record);
+    }
+    if (std::vector<ControlMember> Members = members();
+        !Missed || Request.Members_ != digestOf(Members))
+      Update.Members_ = std::move(Members);
     send(From, std::move(Update), Out);
     Subscribers_.recordSent(From, Revision_);
     if (Request.Ejections_ != NotifiedEjections_.digest())
@@ -301,7 +296,7 @@
     setRequestVerdicts(Update.Requests_, Now, Out);
   }
 
-  /// Asks the leader for its lists, once in a report interval.
+  /// Asks the leader for its lists, twice in a report interval at most.
   void requestWholeLists(TimePoint Now, Effects &Out) {
     if (!Log_.leader() || Now < NextListRequest_)
       return;
@@ -333,9 +328,10 @@
                                    Settings_.MinNotificationInterval_));
   }
 
-  void setEjections(EjectionSet Ejections, TimePoint Now, Effects &Out) {
+  /// Returns whether an instance was added.
+  bool setEjections(EjectionSet Ejections, TimePoint Now, Effects &Out) {
     if (Ejections.digest() == Ejections_.digest())
-      return;
+      return false;
     const bool HasNewEjection =
         !Ejections.changeFrom(Ejections_).Added_.empty();
     Ejections_ = std::move(Ejections);
@@ -343,6 +339,7 @@
     // The end of an ejection can wait for the next regular heartbeat.
     if (HasNewEjection)
       sendHeartbeatEarly(Now);
+    return HasNewEjection;
   }
 
   void notifySubscribers(TimePoint Now, Effects &Out) {
@@ -352,16 +349,16 @@
     NotifySubscribers Notification;
     for (const auto &[Id, Subscriber] : Subscribers_.all())
       Notification.To_.push_back(Id);
-    if (WasCurrent_)
+    if (WasCurrent_) {
       Notification.Message_ =
           RegistryHeartbeat{Revision_,
                             Ejections_.changeFrom(NotifiedEjections_),
                             {},
                             RequestVerdicts_};
-    else
-      Notification.Message_ = RegistryStale{};
-    if (WasCurrent_)
       NotifiedEjections_ = Ejections_;
+    } else {
+      Notification.Message_ = RegistryStale{};
+    }
     Out.emplace_back(std::move(Notification));
   }
 
@@ -403,9 +400,7 @@
   void updateEjections(TimePoint Now, Effects &Out) {
     EjectionSet Selected;
     Selected.assign(Evidence_.selectEjected(Registry_, Settings_.Floor_, Now));
-    const bool HasNewEjection = !Selected.changeFrom(Ejections_).Added_.empty();
-    setEjections(std::move(Selected), Now, Out);
-    if (HasNewEjection)
+    if (setEjections(std::move(Selected), Now, Out))
       notifyFollowersEarly(Now);
   }
 
