--- a/review/1/Case.cc
+++ b/review/1/Case.cc
@@ -15,10 +15,10 @@
 constexpr int RouteCount = 8;
 /// All processes of the core are back within a second.
 constexpr long ReturnMs = 300;
-constexpr long PauseMs = 1000;
+constexpr long PauseMs = 400;
 /// Changes with other content that are in progress at once, beside the one of
 /// the first operator.
-constexpr int OrderCount = 7;
+constexpr int OrderCount = 3;
 constexpr long ConfigApplyMs = 2000;
 constexpr long EndMs = 108000;
 
