--- a/review/4/Case.cc
+++ b/review/4/Case.cc
@@ -16,17 +16,17 @@
 /// Four instances of each service leave at a time, as in a release.
 constexpr int LeavingCount = 4 * ServiceCount;
 /// Time after which new instances get requests.
-constexpr long JoinedMs = 2000;
+constexpr long JoinedMs = 1500;
 constexpr long ReturnMs = 300;
 /// An instance that still gets requests this long after the acknowledgement is
 /// observed; otherwise the next round begins.
-constexpr long QuietMs = 1000;
+constexpr long QuietMs = 700;
 constexpr long DrainMs = 2000;
 constexpr long StableWindowMs = 3000;
 /// Instances go on serving after the acknowledgement, at times for many
 /// seconds.
 constexpr long ServedAfterMs = 7000;
-constexpr long EndMs = 98000;
+constexpr long EndMs = 102000;
 
 std::string configuration() {
   std::string Routes;
@@ -120,7 +120,7 @@
     long StableAt = nowMs() + StableWindowMs;
     for (std::thread &Departure : Departures)
       Departure.join();
-    sleepMs(QuietMs + 300);
+    sleepMs(QuietMs + 200);
     auto CountArrivals = [&](int Index, long From) {
       std::vector<Arrival> Seen = Leaving[Index]->arrivals();
       return std::count_if(Seen.begin(), Seen.end(), [&](const Arrival &Each) {
