LibRegistry: Base changes only on documents that are in the log

Cause: a leader that had not applied the entries of its predecessors compared the version of a change with an empty registry. A change of equal number was appended and kept as NewestDocument_, the base of the next delta. When it was applied it had no effect, but only its number was compared with the registry, so that it stayed the base.

EqualVersionTest failed for shorter and longer contents: the first reads a spliced text back, the second never gets its change acknowledged.

Change: a leader keeps changes (eight at most) until an entry of its own term is committed. Then the registry holds all earlier entries. The base of a delta is a pending proposal of this leader or the document in force, and ends to be pending when the proposal is decided; a refused proposal becomes no base any more.

Ruled out: comparing the content of the pending document with the registry, as the change was also answered before it was known whether it is newer.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -5,6 +5,7 @@
 #include <LibRegistry/FleetEvidence.h>
 #include <LibRegistry/InstanceHistory.h>
 #include <LibRegistry/MemberDomains.h>
+#include <LibRegistry/PendingDocument.h>
 #include <LibRegistry/RetryPool.h>
 #include <LibRegistry/ServiceRegistry.h>
 #include <LibRegistry/SubscriberTable.h>
@@ -66,6 +67,9 @@
   }
 
 private:
+  /// As many changes as operators have in progress at once.
+  static constexpr std::size_t MaxDeferredWrites = 8;
+
   struct PendingSubscriber {
     SubscribeRequest Request_;
     TimePoint ReceivedAt_;
@@ -107,33 +111,28 @@
             Now, Out);
   }
   void on(const DocumentWriteRequest &Request, TimePoint Now, Effects &Out) {
-    if (Log_.isLeader() && Request.Document_.Version_ <= Registry_.version())
+    if (redirectToLeader(Request.RequestId_, Out))
+      return;
+    // The entries of earlier leaders may contain this version or later ones.
+    if (!Log_.hasCommittedInTerm())
+      return deferWrite(Request, Out);
+    const ConfigurationVersion Version = Request.Document_.Version_;
+    if (Version <= Registry_.version())
       return answer(Request.RequestId_, Acknowledged{}, Out);
-    // The log applies commands in order: the newest document in the log is in
-    // force when this change is applied, and serves as the base of its delta.
-    if (!NewestDocument_ || NewestDocument_->Version_ < Registry_.version())
-      NewestDocument_ = Registry_.document();
     // A version that is not newer than the pending one needs no log entry: it
     // is answered together with the pending change.
-    if (NewestDocument_ &&
-        NewestDocument_->Version_ >= Request.Document_.Version_)
-      if (auto Found = PendingChanges_.find(NewestProposal_);
+    if (auto Proposal = PendingDocument_.proposalOf(Version))
+      if (auto Found = PendingChanges_.find(*Proposal);
           Found != PendingChanges_.end())
         return Found->second.Requests_.push_back(Request.RequestId_);
     std::optional<DocumentDelta> Delta;
-    if (NewestDocument_ &&
-        NewestDocument_->Version_ < Request.Document_.Version_)
-      Delta = computeDelta(*NewestDocument_, Request.Document_);
+    if (const auto &Base = PendingDocument_.base(Registry_.document()))
+      Delta = computeDelta(*Base, Request.Document_);
+    RegistryCommand Command = Request.Document_;
     if (Delta)
-      propose(Request.RequestId_, *Delta, Now, Out);
-    else
-      propose(Request.RequestId_, Request.Document_, Now, Out);
-    if (Log_.isLeader() &&
-        (!NewestDocument_ ||
-         NewestDocument_->Version_ < Request.Document_.Version_)) {
-      NewestDocument_ = Request.Document_;
-      NewestProposal_ = LastProposal_;
-    }
+      Command = std::move(*Delta);
+    if (propose(Request.RequestId_, Command, Now, Out))
+      PendingDocument_.add(Request.Document_, LastProposal_);
   }
   void on(const DocumentReadRequest &Request, TimePoint Now, Effects &Out) {
     if (redirectToLeader(Request.RequestId_, Out))
@@ -143,16 +142,34 @@
     Log_.handle(ReadIndexRequest{LastRead_}, Now, LogEffects_);
   }
 
-  /// Proposes a command and answers the request once it is committed.
-  void propose(ControlRequestId RequestId, const RegistryCommand &Command,
+  /// Proposes a command and answers the request once it is committed. Returns
+  /// whether the command was added to the log.
+  bool propose(ControlRequestId RequestId, const RegistryCommand &Command,
                TimePoint Now, Effects &Out) {
     if (redirectToLeader(RequestId, Out))
-      return;
+      return false;
     LastProposal_ = LastProposal_.next();
     PendingChanges_[LastProposal_] =
         PendingChange{{RequestId}, versionOf(Command)};
+    const LogIndex LastIndex = Log_.entries().lastIndex();
     Log_.handle(ProposalRequest{LastProposal_, Codec::encodeCommand(Command)},
                 Now, LogEffects_);
+    return Log_.entries().lastIndex() > LastIndex;
+  }
+  /// Keeps the request until this leader has applied its log.
+  void deferWrite(const DocumentWriteRequest &Request, Effects &Out) {
+    if (DeferredWrites_.size() >= MaxDeferredWrites)
+      return answer(Request.RequestId_,
+                    NotAvailable{"the leader has not applied its log yet"},
+                    Out);
+    DeferredWrites_.push_back(Request);
+  }
+  void handleDeferredWrites(TimePoint Now, Effects &Out) {
+    if (Log_.isLeader() && !Log_.hasCommittedInTerm())
+      return;
+    for (const DocumentWriteRequest &Request :
+         std::exchange(DeferredWrites_, {}))
+      on(Request, Now, Out);
   }
   /// If this member is not the leader, answers the request with a redirect or
   /// an error and returns true.
@@ -432,23 +449,18 @@
 
   /// Applies the effects of the log; each may cause further ones.
   void applyLogEffects(TimePoint Now, Effects &Out) {
-    for (std::size_t Index = 0; Index < LogEffects_.size(); ++Index) {
-      ReplicationEffect Next = std::move(LogEffects_[Index]);
-      std::visit([&](auto &Concrete) { apply(Concrete, Now, Out); }, Next);
-    }
-    LogEffects_.clear();
-    if (Log_.leader() == KnownLeader_ && Log_.term() == KnownTerm_)
-      return;
-    if (isCurrent(Now))
+    do {
+      for (std::size_t Index = 0; Index < LogEffects_.size(); ++Index) {
+        ReplicationEffect Next = std::move(LogEffects_[Index]);
+        std::visit([&](auto &Concrete) { apply(Concrete, Now, Out); }, Next);
+      }
+      LogEffects_.clear();
+      handleDeferredWrites(Now, Out);
+    } while (!LogEffects_.empty());
+    if (!PendingSubscribers_.empty() && isCurrent(Now))
       answerPendingSubscribers(Now, Out);
-    bool IsNewLeader = Log_.leader() != KnownLeader_;
-    KnownLeader_ = Log_.leader();
-    KnownTerm_ = Log_.term();
-    // Entries of an earlier leader that are not committed may be lost.
-    if (IsNewLeader)
-      NewestDocument_.reset();
-    if (IsNewLeader)
-      Out.emplace_back(LeaderChanged{KnownLeader_, KnownTerm_});
+    if (std::exchange(KnownLeader_, Log_.leader()) != Log_.leader())
+      Out.emplace_back(LeaderChanged{KnownLeader_, Log_.term()});
   }
 
   void apply(SendReplication &Send, TimePoint, Effects &Out) {
@@ -498,6 +510,7 @@
       return;
     PendingChange Pending = std::move(Found->second);
     PendingChanges_.erase(Found);
+    PendingDocument_.settle(Decided.Id_);
     ControlReplyBody Reply = Acknowledged{};
     if (!Decided.Answer_)
       Reply = NotAvailable{Decided.Answer_.error().Message_};
@@ -582,14 +595,12 @@
   MemberDomains Domains_;
   RetryPool Retries_;
   std::map<ProposalId, PendingChange> PendingChanges_;
-  /// The newest document in the log, whether committed or not.
-  std::optional<StoredDocument> NewestDocument_;
-  ProposalId NewestProposal_;
+  PendingDocument PendingDocument_;
+  std::vector<DocumentWriteRequest> DeferredWrites_;
   std::map<ReadId, ControlRequestId> PendingReads_;
   ProposalId LastProposal_;
   ReadId LastRead_;
   std::optional<MemberId> KnownLeader_;
-  Term KnownTerm_;
   TimePoint NextHeartbeat_{};
   TimePoint NextReport_{};
   TimePoint NextLeaderUpdate_{};
--- a/Libraries/LibReplication/ReplicatedLog.h
+++ b/Libraries/LibReplication/ReplicatedLog.h
@@ -78,6 +78,10 @@
   /// Whether this member leads or has received a message of the leader within
   /// the election timeout.
   bool hasLeaderContact(TimePoint Now) const;
+  /// Whether an entry of the current term is committed here. The entries of all
+  /// earlier leaders are then committed, too, so that nothing they acknowledged
+  /// is missing from the applied state.
+  bool hasCommittedInTerm() const;
   const EntryLog &entries() const { return Log_; }
   const VoterSet &members() const { return Log_.members(); }
   bool isVoter() const { return members().isVoter(Self_); }
--- a/Libraries/LibReplication/ReplicatedLogElection.cpp
+++ b/Libraries/LibReplication/ReplicatedLogElection.cpp
@@ -42,6 +42,10 @@
          (Leader_ && Now < LastLeaderContact_ + Settings_.ElectionTimeout_);
 }
 
+bool ReplicatedLog::hasCommittedInTerm() const {
+  return CommitIndex_ > LogIndex() && Log_.termAt(CommitIndex_) == term();
+}
+
 void ReplicatedLog::handleBody(const VoteRequest &Request,
                                const ReplicationMessage &Message,
                                CallContext &Context) {
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -42,15 +42,20 @@
     addMember();
     startMember(Index, true);
   }
-  for (std::size_t Index = 0; Index < GatewayCount; ++Index) {
-    RegistrySubscriptionSettings Settings;
-    Settings.Domain_ = domain(Index);
-    Settings.Self_ = Endpoint::create(gateway(Index).text()).takeValue();
-    Settings.Seeds_ = {member(0), member(1), member(2)};
-    Gateways_.push_back(
-        std::make_unique<Gateway>(std::move(Settings), RandomSeed(Index + 1)));
-    Views_.emplace_back();
-  }
+  for (std::size_t Index = 0; Index < GatewayCount; ++Index)
+    addGateway();
+}
+
+std::size_t RegistryFleet::addGateway() {
+  const std::size_t Index = Gateways_.size();
+  RegistrySubscriptionSettings Settings;
+  Settings.Domain_ = domain(Index);
+  Settings.Self_ = Endpoint::create(gateway(Index).text()).takeValue();
+  Settings.Seeds_ = {member(0), member(1), member(2)};
+  Gateways_.push_back(
+      std::make_unique<Gateway>(std::move(Settings), RandomSeed(Index + 1)));
+  Views_.emplace_back();
+  return Index;
 }
 
 std::size_t RegistryFleet::addMember() {
@@ -274,6 +279,13 @@
   return LastRequest_;
 }
 
+ControlRequestId RegistryFleet::depart(std::size_t Member,
+                                       const InstanceId &Instance) {
+  LastRequest_ = LastRequest_.next();
+  handle(Member, DeregisterRequest{LastRequest_, Instance, std::nullopt});
+  return LastRequest_;
+}
+
 ControlRequestId RegistryFleet::writeDocument(std::size_t Member,
                                               std::uint64_t Version,
                                               const std::string &Text) {
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -50,6 +50,8 @@
   /// Adds a stopped member with an empty data folder and a new address, and
   /// returns its index.
   std::size_t addMember();
+  /// Adds and starts a gateway without any data, and returns its index.
+  std::size_t addGateway();
   void setPartitioned(const MemberId &Left, const MemberId &Right,
                       bool IsPartitioned);
 
@@ -58,6 +60,8 @@
   void breakConnections();
 
   ControlRequestId announce(std::size_t Member, const InstanceRecord &Record);
+  /// The instance leaves, without naming its start.
+  ControlRequestId depart(std::size_t Member, const InstanceId &Instance);
   ControlRequestId writeDocument(std::size_t Member, std::uint64_t Version,
                                  const std::string &Text);
   ControlRequestId readDocument(std::size_t Member);
--- /dev/null
+++ b/Tests/LibRegistry/TestLeadershipChange.cpp
@@ -0,0 +1,90 @@
+#include "RegistryFleet.h"
+
+#include <Support/CaseName.h>
+
+namespace jaybridge {
+namespace {
+
+InstanceRecord instance(std::uint64_t StartIncarnation) {
+  return InstanceRecord{InstanceId("i"),
+                        ServiceName("s}"),
+                        Endpoint::create("10.5.0.1:80").takeValue(),
+                        FailureDomain("d"),
+                        SlotCount(4),
+                        InstanceState::Serving,
+                        Incarnation(StartIncarnation)};
+}
+
+/// Routes of a configuration, of which one goes to the given service. Long
+/// enough that a change of it is stored as a delta.
+std::string routes(const std::string &ChangedService) {
+  std::string Text;
+  for (int Index = 0; Index < 20; ++Index)
+    Text += " h" + std::to_string(Index) + ".example " +
+            (Index == 10 ? ChangedService : "s") + "}\n";
+  return Text;
+}
+
+/// All members restart, and a request reaches the new leader before the entries
+/// of its log are committed again.
+class UnappliedLogTest : public testing::Test {
+protected:
+  void SetUp() override {
+    Fleet_.run(8s);
+    ASSERT_LT(Fleet_.leader(), MemberCount);
+    Fleet_.writeDocument(Fleet_.leader(), 3, routes("s"));
+    Fleet_.announce(Fleet_.leader(), instance(5));
+    Fleet_.run(300ms);
+  }
+  void restartMembers() {
+    for (std::size_t Index = 0; Index < MemberCount; ++Index)
+      Fleet_.stopMember(Index);
+    for (std::size_t Index = 0; Index < MemberCount; ++Index)
+      Fleet_.startMember(Index);
+    while (Fleet_.leader() == MemberCount)
+      Fleet_.run(RegistryFleet::TimeStep);
+  }
+
+  static constexpr std::size_t MemberCount = 5;
+  static constexpr std::size_t GatewayCount = 4;
+  RegistryFleet Fleet_{MemberCount, GatewayCount};
+};
+
+struct EqualVersionCase {
+  const char *Name_;
+  std::string OtherService_;
+};
+
+class EqualVersionTest : public UnappliedLogTest,
+                         public testing::WithParamInterface<EqualVersionCase> {
+};
+
+// Guards against a configuration that is spliced from two documents: a change
+// whose version is in the log already must not become the base of the next one.
+TEST_P(EqualVersionTest, IsNotTheBaseOfTheNextChange) {
+  Fleet_.writeDocument(Fleet_.leader(), 4, routes("first"));
+  Fleet_.run(300ms);
+  restartMembers();
+  auto Raced = Fleet_.writeDocument(Fleet_.leader(), 4,
+                                    routes(GetParam().OtherService_));
+  Fleet_.run(500ms);
+  EXPECT_TRUE(Fleet_.hasAnswer<Acknowledged>(Raced));
+  const std::string Next = routes("second");
+  auto Changed = Fleet_.writeDocument(Fleet_.leader(), 5, Next);
+  Fleet_.run(500ms);
+  ASSERT_TRUE(Fleet_.hasAnswer<Acknowledged>(Changed));
+  auto Read = Fleet_.readDocument(Fleet_.leader());
+  Fleet_.run(100ms);
+  ASSERT_TRUE(Fleet_.hasAnswer<StoredDocument>(Read));
+  EXPECT_EQ(std::get<StoredDocument>(*Fleet_.answer(Read)).Text_, "5" + Next);
+}
+
+INSTANTIATE_TEST_SUITE_P(Contents, EqualVersionTest,
+                         testing::Values(EqualVersionCase{"Same", "first"},
+                                         EqualVersionCase{"Shorter", "x"},
+                                         EqualVersionCase{
+                                             "Longer", "a-much-longer-name"}),
+                         CaseName());
+
+} // namespace
+} // namespace jaybridge
