LibRegistry: Serve gateways only with a registry that is up to date

What callers could see: a gateway that started, or lost its member, took routes and instances from a control member that had restarted and still received the entries it missed. It answered by an old configuration.

Cause: a member counted as current as soon as it heard from the leader, whatever it had applied.

Change: a member is current only if it has applied all that its leader had committed in its term, within the election timeout. The leader tells its followers at once when its first entry is committed, so that they wait for no heartbeat after an election.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -60,10 +60,11 @@
 
   const ServiceRegistry &registry() const { return Registry_; }
   const ReplicatedLog &log() const { return Log_; }
-  /// Returns whether this member is a voter in contact with the leader, so that
-  /// its registry is up to date.
+  /// Returns whether this member is a voter in contact with the leader and has
+  /// applied the leader's log.
   bool isCurrent(TimePoint Now) const {
-    return !Log_.isStopped() && Log_.isVoter() && Log_.hasLeaderContact(Now);
+    return !Log_.isStopped() && Log_.isVoter() && Log_.hasLeaderContact(Now) &&
+           Log_.isUpToDate(Now);
   }
 
 private:
--- a/Libraries/LibReplication/ReplicatedLog.h
+++ b/Libraries/LibReplication/ReplicatedLog.h
@@ -82,6 +82,9 @@
   /// earlier leaders are then committed, too, so that nothing they acknowledged
   /// is missing from the applied state.
   bool hasCommittedInTerm() const;
+  /// Whether the applied state is complete, or was within the election timeout:
+  /// all that the leader had committed is applied.
+  bool isUpToDate(TimePoint Now) const;
   const EntryLog &entries() const { return Log_; }
   const VoterSet &members() const { return Log_.members(); }
   bool isVoter() const { return members().isVoter(Self_); }
@@ -230,6 +233,8 @@
   ReplicationRole Role_ = ReplicationRole::Follower;
   std::optional<MemberId> Leader_;
   TimePoint LastLeaderContact_;
+  /// When this follower last had applied all that its leader had committed.
+  std::optional<TimePoint> UpToDateAt_;
   TimePoint ElectionDeadline_;
   LogIndex CommitIndex_;
   std::set<Voter> Votes_;
--- a/Libraries/LibReplication/ReplicatedLogElection.cpp
+++ b/Libraries/LibReplication/ReplicatedLogElection.cpp
@@ -46,6 +46,12 @@
   return CommitIndex_ > LogIndex() && Log_.termAt(CommitIndex_) == term();
 }
 
+bool ReplicatedLog::isUpToDate(TimePoint Now) const {
+  if (isLeader())
+    return hasCommittedInTerm();
+  return UpToDateAt_ && Now < *UpToDateAt_ + Settings_.ElectionTimeout_;
+}
+
 void ReplicatedLog::handleBody(const VoteRequest &Request,
                                const ReplicationMessage &Message,
                                CallContext &Context) {
--- a/Libraries/LibReplication/ReplicatedLogFollower.cpp
+++ b/Libraries/LibReplication/ReplicatedLogFollower.cpp
@@ -45,6 +45,8 @@
     return;
   LogIndex Match(Previous.value() + Request.Entries_.size());
   advanceCommitIndex(std::min(Request.CommitIndex_, Match), Context);
+  if (hasCommittedInTerm() && CommitIndex_ >= Request.CommitIndex_)
+    UpToDateAt_ = Context.Now_;
   sendAfterSync(Message.From_.Id_, AppendAnswer{true, Match, Request.Round_},
                 Context);
 }
--- a/Libraries/LibReplication/ReplicatedLogLeader.cpp
+++ b/Libraries/LibReplication/ReplicatedLogLeader.cpp
@@ -134,7 +134,11 @@
     if (Log_.termAt(Index) == term())
       NewCommitIndex = Index;
   }
+  const bool WasUpToDate = hasCommittedInTerm();
   advanceCommitIndex(NewCommitIndex, Context);
+  // The followers serve nobody until they know this.
+  if (!WasUpToDate && hasCommittedInTerm())
+    broadcast(Context);
   answerReads(Context);
   continueReplacement(Context);
 }
--- a/Tests/LibRegistry/TestLeadershipChange.cpp
+++ b/Tests/LibRegistry/TestLeadershipChange.cpp
@@ -86,5 +86,39 @@
                                              "Longer", "a-much-longer-name"}),
                          CaseName());
 
+// Guards against gateways that take their configuration from a member that has
+// restarted and still receives the entries it missed.
+TEST_F(UnappliedLogTest, MemberServesNoGatewayBeforeItHasCaughtUp) {
+  constexpr std::uint64_t LastVersion = 120;
+  constexpr std::size_t AddedGateways = 6;
+  const std::size_t Stopped = Fleet_.leader() == 0 ? 1 : 0;
+  Fleet_.stopMember(Stopped);
+  // Whole documents, so that the entries need many messages.
+  for (std::uint64_t Version = 4; Version <= LastVersion; ++Version) {
+    const std::string Service = "v" + std::to_string(Version);
+    std::string Text;
+    for (int Route = 0; Route < 300; ++Route)
+      Text +=
+          " " + Service + "-" + std::to_string(Route) + ".example " + Service;
+    Fleet_.writeDocument(Fleet_.leader(), Version, Text);
+    Fleet_.run(20ms);
+  }
+  Fleet_.run(300ms);
+  Fleet_.startMember(Stopped);
+  for (std::size_t Added = 0; Added < AddedGateways; ++Added)
+    Fleet_.addGateway();
+  for (int Step = 0; Step < 200; ++Step) {
+    Fleet_.run(RegistryFleet::TimeStep);
+    for (std::size_t Index = 0; Index < GatewayCount + AddedGateways; ++Index)
+      ASSERT_TRUE(!Fleet_.view(Index).FollowedMember_ ||
+                  Fleet_.view(Index).Version_ ==
+                      ConfigurationVersion(LastVersion))
+          << "gateway " << Index << " has version "
+          << Fleet_.view(Index).Version_.value();
+  }
+  for (std::size_t Index = 0; Index < GatewayCount + AddedGateways; ++Index)
+    EXPECT_TRUE(Fleet_.view(Index).FollowedMember_) << "gateway " << Index;
+}
+
 } // namespace
 } // namespace jaybridge
