LibRegistry: Check the text that a delta results in

Cause: applyDelta() compared the number of the base, not its content.

Change: a delta carries the digest of the text it was computed for. One without it, of an earlier release, is applied unchecked.

Evidence: RejectsAnotherTextOfTheBaseVersion; without the check the spliced text is returned.

--- a/Libraries/LibRegistry/DocumentDelta.cpp
+++ b/Libraries/LibRegistry/DocumentDelta.cpp
@@ -1,5 +1,7 @@
 #include <LibRegistry/DocumentDelta.h>
 
+#include <LibCore/Hash.h>
+
 #include <map>
 #include <string_view>
 
@@ -68,6 +70,10 @@
   std::size_t Size_ = 0;
 };
 
+DocumentDigest digestOf(const std::string &Text) {
+  return DocumentDigest(stableHash(Text));
+}
+
 } // namespace
 
 std::optional<DocumentDelta> computeDelta(const StoredDocument &Base,
@@ -77,7 +83,8 @@
     Builder.add(Piece);
   if (Builder.size() > Target.Text_.size() / 2)
     return std::nullopt;
-  return DocumentDelta{Base.Version_, Target.Version_, Builder.take()};
+  return DocumentDelta{Base.Version_, Target.Version_, Builder.take(),
+                       digestOf(Target.Text_)};
 }
 
 Result<StoredDocument> applyDelta(const StoredDocument &Base,
@@ -103,6 +110,11 @@
                    {}};
     Target.Text_.append(Base.Text_, Range.Offset_, Range.Length_);
   }
+  if (Delta.Result_ != DocumentDigest() &&
+      Delta.Result_ != digestOf(Target.Text_))
+    return Error{ErrorCode::Damaged,
+                 "the delta is based on another document of the same version",
+                 {}};
   return Target;
 }
 
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -302,8 +302,8 @@
             [&](const std::string &Text) { Parts.push_back(writeText(Text)); },
         },
         Part);
-  return json::array(
-      {Delta->Base_.value(), Delta->Version_.value(), std::move(Parts)});
+  return json::array({Delta->Base_.value(), Delta->Version_.value(),
+                      std::move(Parts), Delta->Result_.value()});
 }
 std::optional<DocumentDelta> readDelta(const json &Value) {
   if (Value.is_null())
@@ -318,6 +318,9 @@
     else
       Delta.Parts_.emplace_back(readText(Part));
   }
+  // Earlier versions of the protocol do not send it.
+  if (Value.size() > 3)
+    Delta.Result_ = DocumentDigest(Value.at(3).get<std::uint64_t>());
   return Delta;
 }
 
--- a/Tests/LibRegistry/TestDocumentDelta.cpp
+++ b/Tests/LibRegistry/TestDocumentDelta.cpp
@@ -65,5 +65,17 @@
   EXPECT_EQ(applyDelta(Base, Delta).error().Code_, ErrorCode::Damaged);
 }
 
+// Guards against a document that is spliced from two others, which has happened
+// when two documents with the same version existed.
+TEST(DocumentDeltaBaseTest, RejectsAnotherTextOfTheBaseVersion) {
+  const StoredDocument Base{ConfigurationVersion(4), routesDocument(100, 7)};
+  const StoredDocument Other{ConfigurationVersion(4), routesDocument(100, 8)};
+  const StoredDocument Target{ConfigurationVersion(5), routesDocument(100, 9)};
+  auto Delta = computeDelta(Base, Target);
+  ASSERT_TRUE(Delta);
+  EXPECT_TRUE(applyDelta(Base, *Delta));
+  EXPECT_EQ(applyDelta(Other, *Delta).error().Code_, ErrorCode::Damaged);
+}
+
 } // namespace
 } // namespace jaybridge
--- a/Tests/LibWire/TestRegistryCodec.cpp
+++ b/Tests/LibWire/TestRegistryCodec.cpp
@@ -86,5 +86,20 @@
                   .Requests_.isEmpty());
 }
 
+// Guards against a change that is applied to another text than the one it was
+// computed for, and against rejecting a change of an earlier release.
+TEST(DocumentDeltaCommandTest, KeepsTheDigestOfItsResult) {
+  const DocumentDelta Delta{
+      ConfigurationVersion(1), ConfigurationVersion(2), {}, DocumentDigest(9)};
+  auto Decoded =
+      RegistryWireCodec::decodeCommand(RegistryWireCodec::encodeCommand(Delta));
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(std::get<DocumentDelta>(Decoded.value()), Delta);
+  auto Earlier = RegistryWireCodec::decodeCommand(cborOf(
+      json::array({DocumentDeltaTag, json::array({1, 2, json::array()})})));
+  ASSERT_TRUE(Earlier);
+  EXPECT_EQ(std::get<DocumentDelta>(Earlier.value()).Result_, DocumentDigest());
+}
+
 } // namespace
 } // namespace jaybridge
