LibRegistry: Keep the configuration when a new one cannot be read

Cause: the gateway checked an invariant of other processes with JAYBRIDGE_VERIFY.

Change: the present configuration stays in force, an error is logged and counted, and a change that does not fit makes the gateway request the whole registry.

Evidence: RejectedDocumentTest; before, its process ended in the check.

--- a/Libraries/LibRegistry/RegistrySubscription.cpp
+++ b/Libraries/LibRegistry/RegistrySubscription.cpp
@@ -268,6 +268,11 @@
     switchMember(Now, Out);
 }
 
+void RegistrySubscriptionState::requestFullUpdate(TimePoint Now, Effects &Out) {
+  Revision_ = LogIndex();
+  resynchronize(Now, Out);
+}
+
 void RegistrySubscriptionState::renewEjections(TimePoint Now, Effects &Out) {
   std::map<ServiceName, std::vector<InstanceId>> ByService;
   for (const InstanceId &Id : Ejections_.instances())
--- a/Libraries/LibRegistry/RegistrySubscription.h
+++ b/Libraries/LibRegistry/RegistrySubscription.h
@@ -47,6 +47,12 @@
   std::optional<MemberId> Member_;
 };
 
+/// A configuration cannot be used, so that the previous one stays in force.
+struct DocumentRejected {
+  ConfigurationVersion Version_;
+  Error Reason_;
+};
+
 /// The connection to a control member ended; messages to it may be lost.
 struct MemberConnectionLost {
   MemberId Member_;
@@ -58,7 +64,7 @@
 using RegistrySubscriptionEffect =
     std::variant<SendSubscription, RoutingChanged, InstanceChanged,
                  EjectionsChanged, FingerprintsQuarantined, RetriesGranted,
-                 ControlMemberChanged>;
+                 ControlMemberChanged, DocumentRejected>;
 
 /// Parses the text of a configuration into its routing table.
 template <typename Reader>
@@ -100,6 +106,9 @@
                             Effects &Out);
   /// Switches to another member if the sender is the followed one.
   void handleStale(const MemberId &From, TimePoint Now, Effects &Out);
+  /// Requests the whole registry, since a change does not fit the present
+  /// document.
+  void requestFullUpdate(TimePoint Now, Effects &Out);
   void setVersion(ConfigurationVersion Version) { Version_ = Version; }
   ConfigurationVersion version() const { return Version_; }
 
@@ -206,7 +215,7 @@
       if (Update->Document_)
         applyDocument(*Update->Document_, Out);
       if (Update->Delta_)
-        applyDocument(*Update->Delta_, Out);
+        applyDelta(*Update->Delta_, Now, Out);
     } else if (const auto *Heartbeat =
                    std::get_if<RegistryHeartbeat>(&Received.Message_)) {
       State_.handleHeartbeat(Received.From_, *Heartbeat, Now, Out);
@@ -221,21 +230,24 @@
     if (Stored.Version_ <= State_.version())
       return;
     auto Table = Reader::read(Stored.Text_);
-    // Control members accept only valid documents.
-    JAYBRIDGE_VERIFY(Table.hasValue());
+    if (!Table) {
+      Out.emplace_back(DocumentRejected{Stored.Version_, Table.takeError()});
+      return;
+    }
     State_.setVersion(Stored.Version_);
     Document_ = Stored;
     Out.emplace_back(RoutingChanged{
         std::make_shared<const RoutingTable>(Table.takeValue())});
   }
 
-  void applyDocument(const DocumentDelta &Delta, Effects &Out) {
+  void applyDelta(const DocumentDelta &Delta, TimePoint Now, Effects &Out) {
     if (!Document_ || Delta.Version_ <= Document_->Version_)
       return;
-    auto Updated = applyDelta(*Document_, Delta);
-    // Updates are applied without gaps, so that the base is the present
-    // document.
-    JAYBRIDGE_VERIFY(Updated.hasValue());
+    auto Updated = jaybridge::applyDelta(*Document_, Delta);
+    if (!Updated) {
+      Out.emplace_back(DocumentRejected{Delta.Version_, Updated.takeError()});
+      return State_.requestFullUpdate(Now, Out);
+    }
     applyDocument(Updated.value(), Out);
   }
 
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -57,6 +57,8 @@
       RingsFull_(Metrics_.counter(MetricName("jaybridge_rings_full_total"))),
       MessagesUnsent_(
           Metrics_.counter(MetricName("jaybridge_messages_unsent_total"))),
+      DocumentsRejected_(Metrics_.counter(
+          MetricName("jaybridge_configurations_rejected_total"))),
       AttemptTimes_(
           Metrics_.histogram(MetricName("jaybridge_attempt_seconds"))),
       Peers_(DaemonSettings, peerSinks()),
@@ -254,6 +256,13 @@
                         Changed.Member_ ? Changed.Member_->text() : "none");
 }
 
+void GatewayDaemon::apply(const DocumentRejected &Rejected) {
+  DocumentsRejected_.add();
+  Log_.write(LogLevel::Error, "configuration-rejected",
+             {{"version", std::to_string(Rejected.Version_.value())},
+              {"reason", Rejected.Reason_.Message_}});
+}
+
 std::string GatewayDaemon::metricsText() {
   const RequestPathCounts Counts = RequestPath_->counts();
   auto Set = [this](const char *Name, EventCount Value) {
--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -49,6 +49,7 @@
   void apply(FingerprintsQuarantined &Changed);
   void apply(RetriesGranted &Granted);
   void apply(const ControlMemberChanged &Changed);
+  void apply(const DocumentRejected &Rejected);
   void logRequestStep(const RecordStep &Step);
   void observeAttempt(ReportAttempt Attempt);
   /// Puts the event into the subscription's ring; it is dropped and counted
@@ -60,6 +61,7 @@
   MetricRegistry Metrics_;
   Counter &RingsFull_;
   Counter &MessagesUnsent_;
+  Counter &DocumentsRejected_;
   Histogram &AttemptTimes_;
   std::atomic<std::uint64_t> AppliedVersion_{0};
   std::atomic<bool> IsDraining_{false};
--- /dev/null
+++ b/Tests/LibRegistry/TestRegistrySubscription.cpp
@@ -0,0 +1,88 @@
+#include "RegistryFleet.h"
+
+#include <Support/CaseName.h>
+
+namespace jaybridge {
+namespace {
+
+struct RejectedCase {
+  const char *Name_;
+  /// What follows version 4 with the text "4 a.example s}".
+  std::optional<StoredDocument> Document_;
+  std::optional<DocumentDelta> Delta_;
+  /// The gateway asks for the whole registry, to get the whole document.
+  bool IsRepairable_;
+};
+
+class RejectedDocumentTest : public testing::TestWithParam<RejectedCase> {};
+
+// Guards against gateways that end when a configuration which they receive
+// cannot be read, or does not fit the present one. This ended all gateways at
+// once, and again after each start.
+TEST_P(RejectedDocumentTest, LeavesThePreviousOneInForce) {
+  const MemberId Member("10.0.0.1:7000");
+  RegistrySubscriptionSettings Settings;
+  Settings.Self_ = Endpoint::create("10.9.0.1:7000").takeValue();
+  Settings.Seeds_ = {Member};
+  RegistrySubscription<LineDocument> Subscription(std::move(Settings),
+                                                  RandomSeed(1));
+  std::vector<RegistrySubscriptionEffect> Effects;
+  TimePoint Now{1h};
+  auto Count = [&]<typename Effect>(std::type_identity<Effect>) {
+    return std::count_if(Effects.begin(), Effects.end(), [](const auto &Each) {
+      return std::holds_alternative<Effect>(Each);
+    });
+  };
+  auto Receive = [&](RegistryUpdate Update) {
+    Now += 1s;
+    Effects.clear();
+    Subscription.handle(SubscriptionReceived{Member, std::move(Update)}, Now,
+                        Effects);
+  };
+  RegistryUpdate First;
+  First.Revision_ = LogIndex(7);
+  First.Document_ = StoredDocument{ConfigurationVersion(4), "4 a.example s}"};
+  Receive(First);
+  ASSERT_EQ(Count(std::type_identity<RoutingChanged>{}), 1);
+  RegistryUpdate Second;
+  Second.BaseRevision_ = LogIndex(7);
+  Second.Revision_ = LogIndex(8);
+  Second.Document_ = GetParam().Document_;
+  Second.Delta_ = GetParam().Delta_;
+  Receive(Second);
+  EXPECT_EQ(Count(std::type_identity<RoutingChanged>{}), 0);
+  EXPECT_EQ(Count(std::type_identity<DocumentRejected>{}), 1);
+  bool IsFullUpdateRequested = false;
+  for (const RegistrySubscriptionEffect &Each : Effects)
+    if (const auto *Sent = std::get_if<SendSubscription>(&Each))
+      if (const auto *Request = std::get_if<SubscribeRequest>(&Sent->Message_))
+        IsFullUpdateRequested = Request->Revision_ == LogIndex();
+  EXPECT_EQ(IsFullUpdateRequested, GetParam().IsRepairable_);
+  RegistryUpdate Repaired;
+  Repaired.Revision_ = LogIndex(9);
+  Repaired.Document_ = StoredDocument{ConfigurationVersion(6), "6 b.example s"};
+  Receive(Repaired);
+  EXPECT_EQ(Count(std::type_identity<RoutingChanged>{}), 1);
+}
+
+DocumentDelta delta(std::uint64_t Base, DocumentDigest Result) {
+  return {ConfigurationVersion(Base),
+          ConfigurationVersion(5),
+          {CopyRange{1, 13}},
+          Result};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Contents, RejectedDocumentTest,
+    testing::Values(RejectedCase{"TwoRoutesWithOneHost",
+                                 StoredDocument{ConfigurationVersion(5),
+                                                "5 a.example s a.example t"},
+                                 std::nullopt, false},
+                    RejectedCase{"DeltaOfAnotherVersion", std::nullopt,
+                                 delta(3, DocumentDigest()), true},
+                    RejectedCase{"DeltaOfAnotherText", std::nullopt,
+                                 delta(4, DocumentDigest(1)), true}),
+    CaseName());
+
+} // namespace
+} // namespace jaybridge
