LibReplication: Give up replacements whose joining member is lost

Cause: a replacement was proposed for a member that had asked to join and was down by then, and held up all others for 30 s. The request that the member sent with its new folder did not end it. The voters that lost their folders meanwhile were not replaced, until no majority was left.

LostJoinerTest failed in two of its three rows: no leader, members 1 to 3 no voters.

Change: a request to join with another folder ends the replacement of the former one, if that no longer answers. A joining member that is silent ends it after 2.5 s instead of 30 s. A member that hears of no leader asks to join although its own log says that it takes part: it may have been replaced, or its replacement given up, while it was cut off. AbsentMemberTest failed for a voter before: it stayed out for good. Requests of present voters take no room in the table of requests.

--- a/Libraries/LibReplication/ReplicatedLog.cpp
+++ b/Libraries/LibReplication/ReplicatedLog.cpp
@@ -46,6 +46,7 @@
     Created.CommitIndex_ = Snapshot->LastIndex_;
   Created.Writes_.setSyncedIndex(Created.Log_.lastIndex());
   Created.NextJoinRequest_ = Now;
+  Created.LastLeaderContact_ = Now;
   // The first election deadline is short: after a restart of all members there
   // is no leader to wait for, and while there is one it is safe because
   // pre-votes are refused.
@@ -81,7 +82,7 @@
     if (isVoter())
       campaign(true, Context);
   }
-  if (hasToJoin() && Now >= NextJoinRequest_)
+  if (auto Due = nextJoinRequest(); Due && Now >= *Due)
     sendJoinRequests(Context);
 }
 
@@ -93,8 +94,8 @@
   if (!IsRecoveryEmitted_)
     return NextJoinRequest_;
   TimePoint Next = isLeader() ? NextHeartbeat_ : ElectionDeadline_;
-  if (hasToJoin())
-    Next = std::min(Next, NextJoinRequest_);
+  if (auto Due = nextJoinRequest())
+    Next = std::min(Next, *Due);
   return Next;
 }
 
@@ -228,10 +229,12 @@
 }
 
 void ReplicatedLog::becomeFollower(Term ObservedTerm, CallContext &Context) {
-  if (isLeader())
+  if (isLeader()) {
     failPendingRequests("the leader lost contact with a majority; the change "
                         "may still be committed",
                         Context);
+    LastLeaderContact_ = Context.Now_;
+  }
   Role_ = ReplicationRole::Follower;
   Leader_.reset();
   Progress_.clear();
--- a/Libraries/LibReplication/ReplicatedLog.h
+++ b/Libraries/LibReplication/ReplicatedLog.h
@@ -21,8 +21,11 @@
   /// Deadlines are drawn from one to two times this.
   Duration ElectionTimeout_ = std::chrono::milliseconds(500);
   /// A replacement is abandoned when the joining member has been silent for
-  /// this long.
-  Duration JoinTimeout_ = std::chrono::seconds(30);
+  /// this long, since it holds up all others. Longer than an election and than
+  /// most stalls of a disk.
+  Duration JoinerTimeout_ = std::chrono::milliseconds(2500);
+  /// Join requests are forgotten after this time.
+  Duration JoinRequestLifetime_ = std::chrono::seconds(30);
   /// Number of committed entries after which a new snapshot is requested.
   std::size_t SnapshotIntervalEntries_ = 256;
   /// Whether this member may form a new log. Only one set of members may ever
@@ -206,12 +209,18 @@
                   const ReplicationMessage &Message, CallContext &Context);
 
   // ReplicatedLogMembers.cpp
-  /// Whether this member is neither a voter nor the joining member and must
-  /// send join requests.
-  bool hasToJoin() const { return !members().isReceiver(Self_); }
+  /// Whether this member is neither a voter nor the joining member.
+  bool isOutsider() const { return !members().isReceiver(Self_); }
+  /// When the next join requests are due; nullopt while this member leads. A
+  /// member that hears of no leader asks to join, too: it may have been
+  /// replaced without having received that entry.
+  std::optional<TimePoint> nextJoinRequest() const;
   void sendJoinRequests(CallContext &Context);
   void formLogIfAllFoldersEmpty(CallContext &Context);
   void adoptFirstEntry(LogEntry First, CallContext &Context);
+  /// Abandons the replacement in progress if its joining member has asked to
+  /// join with another folder and no longer answers with the former one.
+  void abandonLostFolder(const Voter &Joining, CallContext &Context);
   /// Starts the replacement of a voter that restarted with an empty folder.
   void replaceLostFolder(const Voter &Joining, CallContext &Context);
   /// Whether this leader has committed an entry of its term and the last
--- a/Libraries/LibReplication/ReplicatedLogElection.cpp
+++ b/Libraries/LibReplication/ReplicatedLogElection.cpp
@@ -56,7 +56,7 @@
                                const ReplicationMessage &Message,
                                CallContext &Context) {
   // The data folder of this member is empty or was replaced.
-  if (hasToJoin())
+  if (isOutsider())
     return;
   bool IsLogUpToDate = std::pair(Request.LastTerm_, Request.LastIndex_) >=
                        std::pair(Log_.lastTerm(), Log_.lastIndex());
--- a/Libraries/LibReplication/ReplicatedLogMembers.cpp
+++ b/Libraries/LibReplication/ReplicatedLogMembers.cpp
@@ -2,6 +2,15 @@
 
 namespace jaybridge {
 
+std::optional<TimePoint> ReplicatedLog::nextJoinRequest() const {
+  if (isLeader())
+    return std::nullopt;
+  if (isOutsider())
+    return NextJoinRequest_;
+  return std::max(NextJoinRequest_,
+                  LastLeaderContact_ + 2 * Settings_.ElectionTimeout_);
+}
+
 void ReplicatedLog::sendJoinRequests(CallContext &Context) {
   NextJoinRequest_ = Context.Now_ + Settings_.ElectionTimeout_;
   for (const MemberId &Member : Settings_.Members_)
@@ -53,10 +62,10 @@
   const Voter &From = Message.From_;
   std::erase_if(PendingJoins_, [&](const auto &Pending) {
     return Context.Now_ >
-           Pending.second.LastRequestAt_ + Settings_.JoinTimeout_;
+           Pending.second.LastRequestAt_ + Settings_.JoinRequestLifetime_;
   });
-  if (PendingJoins_.contains(From.Id_) ||
-      PendingJoins_.size() < MaxPendingJoins) {
+  if (!members().isVoter(From) && (PendingJoins_.contains(From.Id_) ||
+                                   PendingJoins_.size() < MaxPendingJoins)) {
     auto [Known, IsNew] = PendingJoins_.try_emplace(From.Id_);
     PendingJoin &Join = Known->second;
     if (IsNew || Join.Generation_ != From.Generation_)
@@ -73,8 +82,10 @@
     if (First && First->isVoter(From))
       sendAfterSync(From.Id_, FormationOffer{Log_.at(LogIndex(1))}, Context);
   }
-  if (isLeader())
+  if (isLeader()) {
+    abandonLostFolder(From, Context);
     return replaceLostFolder(From, Context);
+  }
   // Forwards the request, as a joining member may know only followers.
   if (Leader_ && *Leader_ != From.Id_)
     Context.Effects_.push_back(SendReplication{
@@ -102,6 +113,20 @@
          CommitIndex_ >= Log_.membersIndex();
 }
 
+void ReplicatedLog::abandonLostFolder(const Voter &Joining,
+                                      CallContext &Context) {
+  const std::optional<Replacement> &Planned = members().Replacement_;
+  if (!canChangeMembers() || !Planned || members().isVoter(Planned->Joining_) ||
+      Planned->Joining_.Id_ != Joining.Id_ || Planned->Joining_ == Joining)
+    return;
+  // A member that still answers has not lost its folder: the request is a
+  // delayed copy from before it did.
+  if (Context.Now_ <=
+      Progress_.at(Planned->Joining_).LastContact_ + Settings_.ElectionTimeout_)
+    return;
+  appendAsLeader(members().withReplacementAbandoned(), Context);
+}
+
 void ReplicatedLog::replaceLostFolder(const Voter &Joining,
                                       CallContext &Context) {
   std::optional<Voter> Lost = members().findVoter(Joining.Id_);
@@ -169,7 +194,7 @@
   const FollowerProgress &Progress = Progress_.at(Joining);
   if (Progress.MatchIndex_ >= CommitIndex_)
     appendAsLeader(Current.withJoiningVoter(), Context);
-  else if (Context.Now_ > Progress.LastContact_ + Settings_.JoinTimeout_)
+  else if (Context.Now_ > Progress.LastContact_ + Settings_.JoinerTimeout_)
     appendAsLeader(Current.withReplacementAbandoned(), Context);
 }
 
