LibRegistry: Let the log decide which departures have an effect

Cause: a leader acknowledged the departure of an instance that it did not know. Before its first entry was committed it knew none. The log then restored the instance. In the same way it removed only the start that it knew, while its log held a later one, and overtook an announcement that was in progress.

DepartureTest (two rows) and DepartureFollowsAnAnnouncementInProgress failed.

Change: each departure is an entry of the log. One that names no start removes the start that is registered when the entry is applied. A member of an earlier release cannot read such an entry and stops, so that the leader is updated last, as docs/platform.md says.

Ruled out: a read index before the answer; it orders the departure behind committed entries only, not behind an announcement in progress.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -102,13 +102,9 @@
     propose(Request.RequestId_, StoreInstance{Request.Record_}, Now, Out);
   }
   void on(const DeregisterRequest &Request, TimePoint Now, Effects &Out) {
-    const InstanceRecord *Known = Registry_.find(Request.Id_);
-    Incarnation LastIncarnation =
-        Request.Version_.value_or(Known ? Known->Version_ : Incarnation());
-    bool IsRemoved = !Known || Known->Version_ > LastIncarnation;
-    if (Log_.isLeader() && IsRemoved)
-      return answer(Request.RequestId_, Acknowledged{}, Out);
-    propose(Request.RequestId_, RemoveInstance{Request.Id_, LastIncarnation},
+    // Entries that are not applied yet may register the instance or a later
+    // start of it, so that only the log decides what is removed.
+    propose(Request.RequestId_, RemoveInstance{Request.Id_, Request.Version_},
             Now, Out);
   }
   void on(const DocumentWriteRequest &Request, TimePoint Now, Effects &Out) {
--- a/Libraries/LibRegistry/RegistryCommand.h
+++ b/Libraries/LibRegistry/RegistryCommand.h
@@ -17,8 +17,9 @@
 /// is not affected.
 struct RemoveInstance {
   InstanceId Id_;
-  /// Newest incarnation that is removed.
-  Incarnation LastIncarnation_;
+  /// Newest incarnation that is removed; if there is none, the one that is
+  /// registered when the command is applied.
+  std::optional<Incarnation> LastIncarnation_;
 };
 
 /// An entry of the replicated log.
--- a/Libraries/LibRegistry/ServiceRegistry.cpp
+++ b/Libraries/LibRegistry/ServiceRegistry.cpp
@@ -97,10 +97,13 @@
 RegistryChange ServiceRegistry::applyCommand(const RemoveInstance &Removed) {
   RegistryChange Change;
   const InstanceRecord *Known = find(Removed.Id_);
-  if (!Known || Known->Version_ > Removed.LastIncarnation_)
+  if (!Known)
+    return Change;
+  const Incarnation Last = Removed.LastIncarnation_.value_or(Known->Version_);
+  if (Known->Version_ > Last)
     return Change;
   InstanceId Id = Known->Id_;
-  removeInstance(Id, Removed.LastIncarnation_, Change);
+  removeInstance(Id, Last, Change);
   return Change;
 }
 
--- a/Libraries/LibWire/RegistryCodec.cpp
+++ b/Libraries/LibWire/RegistryCodec.cpp
@@ -331,10 +331,15 @@
   return std::move(*Read);
 }
 
-std::optional<LogIndex> readIndex(const json &Value) {
+template <typename Number>
+json writeOptional(const std::optional<Number> &Value) {
+  return Value ? json(Value->value()) : json(nullptr);
+}
+template <typename Number>
+std::optional<Number> readOptional(const json &Value) {
   if (Value.is_null())
     return std::nullopt;
-  return LogIndex(Value.get<std::uint64_t>());
+  return Number(Value.get<std::uint64_t>());
 }
 
 SubscriptionMessage readMessage(const json &Value) {
@@ -356,7 +361,7 @@
   case Tag::RetriesGranted:
     return RetriesGranted{readAll(Value.at(1), readRetryCount)};
   case Tag::RegistryUpdate:
-    return RegistryUpdate{readIndex(Value.at(1)),
+    return RegistryUpdate{readOptional<LogIndex>(Value.at(1)),
                           LogIndex(Value.at(2).get<std::uint64_t>()),
                           readDocument(Value.at(3)),
                           readDelta(Value.at(4)),
@@ -390,7 +395,7 @@
     return StoreInstance{readInstance(Value.at(1))};
   case Tag::RemoveInstance:
     return RemoveInstance{InstanceId(Value.at(1).get<std::string>()),
-                          Incarnation(Value.at(2).get<std::uint64_t>())};
+                          readOptional<Incarnation>(Value.at(2))};
   default:
     throw json::other_error::create(501, "unknown kind of command", nullptr);
   }
@@ -424,9 +429,7 @@
           },
           [](const RegistryUpdate &Update) {
             json List = taggedArray(Tag::RegistryUpdate);
-            List.push_back(Update.BaseRevision_
-                               ? json(Update.BaseRevision_->value())
-                               : json(nullptr));
+            List.push_back(writeOptional(Update.BaseRevision_));
             List.push_back(Update.Revision_.value());
             List.push_back(write(Update.Document_));
             List.push_back(write(Update.Delta_));
@@ -488,7 +491,7 @@
           [](const RemoveInstance &Remove) {
             json List = taggedArray(Tag::RemoveInstance);
             List.push_back(Remove.Id_.text());
-            List.push_back(Remove.LastIncarnation_.value());
+            List.push_back(writeOptional(Remove.LastIncarnation_));
             return List;
           },
       },
--- a/Tests/LibRegistry/TestLeadershipChange.cpp
+++ b/Tests/LibRegistry/TestLeadershipChange.cpp
@@ -86,6 +86,53 @@
                                              "Longer", "a-much-longer-name"}),
                          CaseName());
 
+struct DepartureCase {
+  const char *Name_;
+  /// Another start of the instance is the last entry of the log.
+  bool HasRestarted_;
+};
+
+class DepartureTest : public UnappliedLogTest,
+                      public testing::WithParamInterface<DepartureCase> {};
+
+// Guards against a departure that is acknowledged because the leader does not
+// know the instance, or knows only an earlier start of it, and that the log
+// undoes afterwards.
+TEST_P(DepartureTest, RemovesAnInstanceThatOnlyTheLogKnows) {
+  if (GetParam().HasRestarted_) {
+    Fleet_.announce(Fleet_.leader(), instance(6));
+    Fleet_.run(300ms);
+  }
+  restartMembers();
+  auto Departed = Fleet_.depart(Fleet_.leader(), InstanceId("i"));
+  Fleet_.run(2s);
+  ASSERT_TRUE(Fleet_.hasAnswer<Acknowledged>(Departed));
+  for (std::size_t Index = 0; Index < GatewayCount; ++Index)
+    EXPECT_EQ(Fleet_.view(Index).Instances_.at(InstanceId("i")),
+              InstanceState::Left)
+        << "gateway " << Index;
+}
+
+INSTANTIATE_TEST_SUITE_P(Starts, DepartureTest,
+                         testing::Values(DepartureCase{"Registered", false},
+                                         DepartureCase{"RestartedUnderItsId",
+                                                       true}),
+                         CaseName());
+
+// Guards against a departure that overtakes the announcement of the same
+// instance, whose entry is not committed yet.
+TEST_F(UnappliedLogTest, DepartureFollowsAnAnnouncementInProgress) {
+  InstanceRecord Added = instance(7);
+  Added.Id_ = InstanceId("added");
+  Added.Address_ = Endpoint::create("10.5.0.2:80").takeValue();
+  Fleet_.announce(Fleet_.leader(), Added);
+  auto Departed = Fleet_.depart(Fleet_.leader(), Added.Id_);
+  Fleet_.run(2s);
+  ASSERT_TRUE(Fleet_.hasAnswer<Acknowledged>(Departed));
+  EXPECT_EQ(Fleet_.control(Fleet_.leader())->registry().find(Added.Id_),
+            nullptr);
+}
+
 // Guards against gateways that take their configuration from a member that has
 // restarted and still receives the entries it missed.
 TEST_F(UnappliedLogTest, MemberServesNoGatewayBeforeItHasCaughtUp) {
--- a/Tests/LibWire/TestRegistryCodec.cpp
+++ b/Tests/LibWire/TestRegistryCodec.cpp
@@ -86,6 +86,29 @@
                   .Requests_.isEmpty());
 }
 
+struct DepartureCase {
+  const char *Name_;
+  std::optional<Incarnation> LastIncarnation_;
+};
+
+class DepartureCommandTest : public testing::TestWithParam<DepartureCase> {};
+
+// Guards against a departure that names no start and is read as one of the
+// earliest start, which removes nothing.
+TEST_P(DepartureCommandTest, KeepsItsIncarnation) {
+  const RemoveInstance Command{InstanceId("i"), GetParam().LastIncarnation_};
+  auto Decoded = RegistryWireCodec::decodeCommand(
+      RegistryWireCodec::encodeCommand(Command));
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(std::get<RemoveInstance>(Decoded.value()).LastIncarnation_,
+            GetParam().LastIncarnation_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Incarnations, DepartureCommandTest,
+                         testing::Values(DepartureCase{"Named", Incarnation(5)},
+                                         DepartureCase{"None", std::nullopt}),
+                         CaseName());
+
 // Guards against a change that is applied to another text than the one it was
 // computed for, and against rejecting a change of an earlier release.
 TEST(DocumentDeltaCommandTest, KeepsTheDigestOfItsResult) {
