--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -125,12 +125,17 @@
       Messages_.pop_front();
       receive(Received);
     }
-    for (std::size_t Index = 0; Index < Members_.size(); ++Index)
+    for (std::size_t Index = 0; Index < Members_.size(); ++Index) {
+      if (auto &Due = Members_[Index].RestartAt_; Due && *Due <= Now_) {
+        Due.reset();
+        startMember(Index);
+      }
       if (Members_[Index].Running_) {
         std::vector<ControlEffect> Effects;
         Members_[Index].Running_->advance(Now_, Effects);
         deliver(Index, std::move(Effects));
       }
+    }
     for (std::size_t Index = 0; Index < Gateways_.size(); ++Index) {
       std::vector<RegistrySubscriptionEffect> Effects;
       Gateways_[Index]->advance(Now_, Effects);
@@ -219,6 +224,10 @@
                     Now_ + MessageLatency, member(Index), To, Decoded.value()});
             },
             [&](PersistLog &Write) {
+              if (Members_[Index].IsDiskFull_)
+                return handle(
+                    Index, PersistFailed{
+                               Error{ErrorCode::Full, "the disk is full", {}}});
               Persisted Completed{Write.Sequence_};
               Writes_[Index].push_back(std::move(Write));
               handle(Index, Completed);
@@ -227,7 +236,9 @@
               Answers_.emplace(Answered.RequestId_, std::move(Answered.Body_));
             },
             [&](MemberStopped &Stopped) {
-              ADD_FAILURE() << Stopped.Reason_.Message_;
+              EXPECT_TRUE(Members_[Index].IsDiskFull_)
+                  << Stopped.Reason_.Message_;
+              Members_[Index].RestartAt_ = Now_ + RestartDelay;
             },
             [](auto &) {},
         },
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -30,6 +30,8 @@
 
   static constexpr Duration MessageLatency = 1ms;
   static constexpr Duration TimeStep = 10ms;
+  /// Time between the end of a process and its next start.
+  static constexpr Duration RestartDelay = 500ms;
 
   /// The first three members are the seeds.
   RegistryFleet(std::size_t MemberCount, std::size_t GatewayCount);
@@ -47,6 +49,11 @@
   void startMember(std::size_t Index, bool IsFirstStart = false);
   /// Replaces the member's data folder by an empty one.
   void loseFolder(std::size_t Index);
+  /// While its disk is full a member stops with each write. It restarts with
+  /// what it had stored.
+  void setDiskFull(std::size_t Index, bool IsFull) {
+    Members_[Index].IsDiskFull_ = IsFull;
+  }
   /// Adds a stopped member with an empty data folder and a new address, and
   /// returns its index.
   std::size_t addMember();
@@ -104,6 +111,8 @@
     std::unique_ptr<Control> Running_;
     std::unique_ptr<LogRecovery> Folder_;
     FolderGeneration Generation_;
+    bool IsDiskFull_ = false;
+    std::optional<TimePoint> RestartAt_;
   };
   struct Message {
     TimePoint DeliverAt_;
