--- a/Libraries/LibReplication/ReplicatedLogElection.cpp
+++ b/Libraries/LibReplication/ReplicatedLogElection.cpp
@@ -42,11 +42,21 @@
          (Leader_ && Now < LastLeaderContact_ + Settings_.ElectionTimeout_);
 }
 
+bool ReplicatedLog::hasCommittedInTerm() const {
+  return CommitIndex_ > LogIndex() && Log_.termAt(CommitIndex_) == term();
+}
+
+bool ReplicatedLog::isUpToDate(TimePoint Now) const {
+  if (isLeader())
+    return hasCommittedInTerm();
+  return UpToDateAt_ && Now < *UpToDateAt_ + Settings_.ElectionTimeout_;
+}
+
 void ReplicatedLog::handleBody(const VoteRequest &Request,
                                const ReplicationMessage &Message,
                                CallContext &Context) {
   // The data folder of this member is empty or was replaced.
-  if (hasToJoin())
+  if (isOutsider())
     return;
   bool IsLogUpToDate = std::pair(Request.LastTerm_, Request.LastIndex_) >=
                        std::pair(Log_.lastTerm(), Log_.lastIndex());
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -42,15 +42,20 @@
     addMember();
     startMember(Index, true);
   }
-  for (std::size_t Index = 0; Index < GatewayCount; ++Index) {
-    RegistrySubscriptionSettings Settings;
-    Settings.Domain_ = domain(Index);
-    Settings.Self_ = Endpoint::create(gateway(Index).text()).takeValue();
-    Settings.Seeds_ = {member(0), member(1), member(2)};
-    Gateways_.push_back(
-        std::make_unique<Gateway>(std::move(Settings), RandomSeed(Index + 1)));
-    Views_.emplace_back();
-  }
+  for (std::size_t Index = 0; Index < GatewayCount; ++Index)
+    addGateway();
+}
+
+std::size_t RegistryFleet::addGateway() {
+  const std::size_t Index = Gateways_.size();
+  RegistrySubscriptionSettings Settings;
+  Settings.Domain_ = domain(Index);
+  Settings.Self_ = Endpoint::create(gateway(Index).text()).takeValue();
+  Settings.Seeds_ = {member(0), member(1), member(2)};
+  Gateways_.push_back(
+      std::make_unique<Gateway>(std::move(Settings), RandomSeed(Index + 1)));
+  Views_.emplace_back();
+  return Index;
 }
 
 std::size_t RegistryFleet::addMember() {
@@ -120,12 +125,17 @@
       Messages_.pop_front();
       receive(Received);
     }
-    for (std::size_t Index = 0; Index < Members_.size(); ++Index)
+    for (std::size_t Index = 0; Index < Members_.size(); ++Index) {
+      if (auto &Due = Members_[Index].RestartAt_; Due && *Due <= Now_) {
+        Due.reset();
+        startMember(Index);
+      }
       if (Members_[Index].Running_) {
         std::vector<ControlEffect> Effects;
         Members_[Index].Running_->advance(Now_, Effects);
         deliver(Index, std::move(Effects));
       }
+    }
     for (std::size_t Index = 0; Index < Gateways_.size(); ++Index) {
       std::vector<RegistrySubscriptionEffect> Effects;
       Gateways_[Index]->advance(Now_, Effects);
@@ -214,6 +224,10 @@
                     Now_ + MessageLatency, member(Index), To, Decoded.value()});
             },
             [&](PersistLog &Write) {
+              if (Members_[Index].IsDiskFull_)
+                return handle(
+                    Index, PersistFailed{
+                               Error{ErrorCode::Full, "the disk is full", {}}});
               Persisted Completed{Write.Sequence_};
               Writes_[Index].push_back(std::move(Write));
               handle(Index, Completed);
@@ -222,7 +236,9 @@
               Answers_.emplace(Answered.RequestId_, std::move(Answered.Body_));
             },
             [&](MemberStopped &Stopped) {
-              ADD_FAILURE() << Stopped.Reason_.Message_;
+              EXPECT_TRUE(Members_[Index].IsDiskFull_)
+                  << Stopped.Reason_.Message_;
+              Members_[Index].RestartAt_ = Now_ + RestartDelay;
             },
             [](auto &) {},
         },
@@ -274,6 +290,13 @@
   return LastRequest_;
 }
 
+ControlRequestId RegistryFleet::depart(std::size_t Member,
+                                       const InstanceId &Instance) {
+  LastRequest_ = LastRequest_.next();
+  handle(Member, DeregisterRequest{LastRequest_, Instance, std::nullopt});
+  return LastRequest_;
+}
+
 ControlRequestId RegistryFleet::writeDocument(std::size_t Member,
                                               std::uint64_t Version,
                                               const std::string &Text) {
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -30,6 +30,8 @@
 
   static constexpr Duration MessageLatency = 1ms;
   static constexpr Duration TimeStep = 10ms;
+  /// Time between the end of a process and its next start.
+  static constexpr Duration RestartDelay = 500ms;
 
   /// The first three members are the seeds.
   RegistryFleet(std::size_t MemberCount, std::size_t GatewayCount);
@@ -47,9 +49,16 @@
   void startMember(std::size_t Index, bool IsFirstStart = false);
   /// Replaces the member's data folder by an empty one.
   void loseFolder(std::size_t Index);
+  /// While its disk is full a member stops with each write. It restarts with
+  /// what it had stored.
+  void setDiskFull(std::size_t Index, bool IsFull) {
+    Members_[Index].IsDiskFull_ = IsFull;
+  }
   /// Adds a stopped member with an empty data folder and a new address, and
   /// returns its index.
   std::size_t addMember();
+  /// Adds and starts a gateway without any data, and returns its index.
+  std::size_t addGateway();
   void setPartitioned(const MemberId &Left, const MemberId &Right,
                       bool IsPartitioned);
 
@@ -58,6 +67,8 @@
   void breakConnections();
 
   ControlRequestId announce(std::size_t Member, const InstanceRecord &Record);
+  /// The instance leaves, without naming its start.
+  ControlRequestId depart(std::size_t Member, const InstanceId &Instance);
   ControlRequestId writeDocument(std::size_t Member, std::uint64_t Version,
                                  const std::string &Text);
   ControlRequestId readDocument(std::size_t Member);
@@ -100,6 +111,8 @@
     std::unique_ptr<Control> Running_;
     std::unique_ptr<LogRecovery> Folder_;
     FolderGeneration Generation_;
+    bool IsDiskFull_ = false;
+    std::optional<TimePoint> RestartAt_;
   };
   struct Message {
     TimePoint DeliverAt_;
