LibRegistry: Handle the failures that a large fleet reports together

Cause: a follower passed each report with a failure on to the leader at once, and the leader selected the ejected instances anew for each, which takes time in proportion to all instances. Changes of operators and instances waited behind these events in the leader's ring.

Change: reports ahead of the regular interval keep 50 ms between them, the leader's decisions 100 ms, as their notifications do. A control member drops reports of attempts while 256 events wait.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -292,7 +292,7 @@
   void recordAttempts(const Report &Received, TimePoint Now, Effects &Out) {
     if (Evidence_.record(Received.Instances_, Received.Requests_, Registry_,
                          Now))
-      report(Now, Out);
+      reportEarly(Now, Out);
   }
 
   void applyLeaderUpdate(const LeaderUpdate &Update, TimePoint Now,
@@ -390,10 +390,24 @@
     notifySubscribers(Now, Out);
   }
 
+  /// Reports failures ahead of the regular interval. Those in quick succession
+  /// are reported together, since the work of the leader's decisions grows with
+  /// the number of instances and would hold up changes.
+  void reportEarly(TimePoint Now, Effects &Out) {
+    const TimePoint Earliest =
+        LastReportAt_ + (Log_.isLeader() ? Settings_.MinNotificationInterval_
+                                         : Settings_.MinReportInterval_);
+    if (Now >= Earliest)
+      report(Now, Out);
+    else
+      NextReport_ = std::min(NextReport_, Earliest);
+  }
+
   /// On a follower, reports the attempts since the last report to the leader;
   /// on the leader, updates its decisions.
   void report(TimePoint Now, Effects &Out) {
     NextReport_ = Now + Settings_.ReportInterval_;
+    LastReportAt_ = Now;
     if (Log_.isLeader()) {
       updateEjections(Now, Out);
       updateRequestVerdicts(Now, Out);
@@ -600,6 +614,7 @@
   std::optional<MemberId> KnownLeader_;
   TimePoint NextHeartbeat_{};
   TimePoint NextReport_{};
+  TimePoint LastReportAt_{};
   TimePoint NextLeaderUpdate_{};
   TimePoint NextListRequest_{};
   TimePoint LastHeartbeatAt_{};
--- a/Libraries/LibRegistry/ControlSettings.h
+++ b/Libraries/LibRegistry/ControlSettings.h
@@ -38,8 +38,11 @@
   /// are sent ahead of the regular interval.
   Duration MinNotificationInterval_ = 100ms;
   /// Interval of reports from followers to the leader, and of updates from the
-  /// leader to followers. Reports with failures are sent at once.
+  /// leader to followers. Reports with failures are sent ahead of it.
   Duration ReportInterval_ = 1s;
+  /// Minimum time between two reports to the leader when failures are reported
+  /// ahead of the regular interval.
+  Duration MinReportInterval_ = 50ms;
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRuntime/BoundedRing.h
+++ b/Libraries/LibRuntime/BoundedRing.h
@@ -3,6 +3,7 @@
 #include <LibCore/Quantity.h>
 #include <LibCore/Verify.h>
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <cstddef>
@@ -28,16 +29,21 @@
   /// Adds Item without waiting. False when the ring is full or closed; Item is
   /// then unchanged.
   [[nodiscard]] bool tryPush(T &Item) {
+    return tryPush(Item, RingCapacity(Slots_.size()));
+  }
+  [[nodiscard]] bool tryPush(T &&Item) { return tryPush(Item); }
+  /// Also false when Limit items or more are waiting. For items that may be
+  /// lost and must not hold up others.
+  [[nodiscard]] bool tryPush(T &Item, RingCapacity Limit) {
     {
       std::lock_guard Lock(Mutex_);
-      if (IsClosed_ || Length_ == Slots_.size())
+      if (IsClosed_ || Length_ >= std::min(Limit.value(), Slots_.size()))
         return false;
       pushBack(std::move(Item));
     }
     NotEmpty_.notify_one();
     return true;
   }
-  [[nodiscard]] bool tryPush(T &&Item) { return tryPush(Item); }
 
   /// Adds Item, waiting while the ring is full. False when the ring is closed.
   /// Only for producers whose consumer never waits for them, as both would
--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr RingCapacity ControlRingCapacity(16384);
+/// Reports of attempts are dropped while this many events wait, since operators
+/// and instances wait for the events behind them. What a report lacks comes
+/// with later ones.
+constexpr RingCapacity EvidenceBacklog(256);
 /// Fits a complete configuration document with tens of thousands of routes.
 constexpr ByteCount MaxDocumentSize(32UL * 1024 * 1024);
 /// Longer than is usual within a rack, because traffic between failure domains
@@ -40,6 +44,8 @@
       RingsFull_(Metrics_.counter(MetricName("jaybridge_rings_full_total"))),
       MessagesUnsent_(
           Metrics_.counter(MetricName("jaybridge_messages_unsent_total"))),
+      ReportsDropped_(
+          Metrics_.counter(MetricName("jaybridge_reports_dropped_total"))),
       OnStopped_(std::move(OnStopped)), Storage_(std::move(Storage)),
       Peers_(DaemonSettings, peerSinks()),
       Control_(std::move(Role), ControlRingCapacity),
@@ -51,7 +57,14 @@
     post(std::move(Message));
   };
   Sinks.Subscription_ = [this](MemberId From, SubscriptionMessage Message) {
-    post(SubscriptionReceived{std::move(From), std::move(Message)});
+    const bool IsEvidence = std::holds_alternative<AttemptReport>(Message) ||
+                            std::holds_alternative<FollowerReport>(Message);
+    ControlEvent Event =
+        SubscriptionReceived{std::move(From), std::move(Message)};
+    if (!IsEvidence)
+      post(std::move(Event));
+    else if (!Control_.ring().tryPush(Event, EvidenceBacklog))
+      ReportsDropped_.add();
   };
   return Sinks;
 }
--- a/Services/jaybridged/ControlDaemon.h
+++ b/Services/jaybridged/ControlDaemon.h
@@ -53,6 +53,7 @@
   MetricRegistry Metrics_;
   Counter &RingsFull_;
   Counter &MessagesUnsent_;
+  Counter &ReportsDropped_;
   StoppedSink OnStopped_;
   std::unique_ptr<StorageThread> Storage_;
   RegistryPeers Peers_;
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -212,6 +212,9 @@
               const auto *Update =
                   std::get_if<RegistryUpdate>(&Decoded.value());
               FullUpdateCount_ += Update && !Update->BaseRevision_ ? 1 : 0;
+              FollowerReportCount_ +=
+                  std::holds_alternative<FollowerReport>(Decoded.value()) ? 1
+                                                                          : 0;
               Messages_.push_back(Message{Now_ + MessageLatency, member(Index),
                                           Send.To_, Decoded.takeValue()});
             },
@@ -235,6 +238,9 @@
             [&](ControlRequestAnswered &Answered) {
               Answers_.emplace(Answered.RequestId_, std::move(Answered.Body_));
             },
+            [&](EjectedInstancesChanged &) {
+              ++Members_[Index].EjectionChangeCount_;
+            },
             [&](MemberStopped &Stopped) {
               EXPECT_TRUE(Members_[Index].IsDiskFull_)
                   << Stopped.Reason_.Message_;
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -85,6 +85,12 @@
 
   /// Updates with the whole registry that members sent to gateways.
   std::size_t fullUpdateCount() const { return FullUpdateCount_; }
+  /// Reports of attempts that members sent to their leader.
+  std::size_t followerReportCount() const { return FollowerReportCount_; }
+  /// Times that the ejected instances changed at the member.
+  std::size_t ejectionChangeCount(std::size_t Index) const {
+    return Members_[Index].EjectionChangeCount_;
+  }
 
   /// Returns the index of the leader, or the number of members if there is
   /// none.
@@ -113,6 +119,7 @@
     FolderGeneration Generation_;
     bool IsDiskFull_ = false;
     std::optional<TimePoint> RestartAt_;
+    std::size_t EjectionChangeCount_ = 0;
   };
   struct Message {
     TimePoint DeliverAt_;
@@ -132,6 +139,7 @@
 
   TimePoint Now_{1h};
   std::size_t FullUpdateCount_ = 0;
+  std::size_t FollowerReportCount_ = 0;
   /// From a gateway to a member.
   std::set<std::pair<MemberId, MemberId>> BrokenConnections_;
   std::vector<Member> Members_;
--- a/Tests/LibRegistry/TestLeadershipChange.cpp
+++ b/Tests/LibRegistry/TestLeadershipChange.cpp
@@ -144,9 +144,10 @@
   for (std::uint64_t Version = 4; Version <= LastVersion; ++Version) {
     const std::string Service = "v" + std::to_string(Version);
     std::string Text;
-    for (int Route = 0; Route < 300; ++Route)
-      Text +=
-          " " + Service + "-" + std::to_string(Route) + ".example " + Service;
+    for (int Route = 0; Route < 300; ++Route) {
+      Text.append(" ").append(Service).append("-");
+      Text.append(std::to_string(Route)).append(".example ").append(Service);
+    }
     Fleet_.writeDocument(Fleet_.leader(), Version, Text);
     Fleet_.run(20ms);
   }
--- a/Tests/LibRegistry/TestRegistryFleet.cpp
+++ b/Tests/LibRegistry/TestRegistryFleet.cpp
@@ -264,6 +264,46 @@
   EXPECT_TRUE(Fleet_.control(Added)->log().isVoter());
 }
 
+// Guards against a leader that decides anew with each of the many reports of a
+// large fleet, so that changes wait behind them: in giliran-sel-large, scale-2,
+// a configuration was acknowledged 15.6 s after it was sent.
+TEST_F(RegistryFleetTest, HandlesManyFailuresTogether) {
+  constexpr std::size_t InstanceCount = 40;
+  constexpr Duration Span = 2s;
+  for (std::size_t Index = 0; Index < InstanceCount; ++Index) {
+    InstanceRecord Added = instance();
+    Added.Id_ = InstanceId("many-" + std::to_string(Index));
+    Added.Address_ =
+        Endpoint::create("10.5.2.1",
+                         Port(static_cast<std::uint16_t>(Index + 1)))
+            .takeValue();
+    Fleet_.announce(Fleet_.leader(), Added);
+  }
+  Fleet_.run(1s);
+  const std::size_t Leader = Fleet_.leader();
+  const std::size_t ReportsBefore = Fleet_.followerReportCount();
+  const std::size_t ChangesBefore = Fleet_.ejectionChangeCount(Leader);
+  std::size_t Failed = 0;
+  for (Duration Passed{}; Passed < Span; Passed += RegistryFleet::TimeStep) {
+    for (std::size_t Gateway = 0; Gateway < GatewayCount; ++Gateway)
+      Fleet_.finishAttempt(
+          Gateway,
+          {ServiceName("s"),
+           InstanceId("many-" + std::to_string(Failed++ / 8 % InstanceCount)),
+           AttemptResult::ConnectionLost, StatusCode(0), 10ms,
+           Fingerprint(Failed)});
+    Fleet_.run(RegistryFleet::TimeStep);
+  }
+  const ControlSettings Limits;
+  EXPECT_LE(Fleet_.followerReportCount() - ReportsBefore,
+            (MemberCount - 1) *
+                static_cast<std::size_t>(Span / Limits.MinReportInterval_ + 1));
+  // The decisions themselves, and those with each heartbeat.
+  EXPECT_LE(
+      Fleet_.ejectionChangeCount(Leader) - ChangesBefore,
+      2 * static_cast<std::size_t>(Span / Limits.MinNotificationInterval_ + 1));
+}
+
 /// Three gateways lose a request at three instances, one each.
 class CrashingRequestsTest : public RegistryFleetTest {
 protected:
--- a/Tests/LibRuntime/TestBoundedRing.cpp
+++ b/Tests/LibRuntime/TestBoundedRing.cpp
@@ -48,5 +48,16 @@
 INSTANTIATE_TEST_SUITE_P(Capacities, BoundedRingTest,
                          testing::Values(1, 2, 64));
 
+// Guards against items of less urgency that fill the ring and hold up others.
+TEST(BoundedRingTest, RefusesItemsBeyondTheirLimit) {
+  BoundedRing<int> Ring(RingCapacity(3));
+  int Item = 1;
+  EXPECT_TRUE(Ring.tryPush(Item, RingCapacity(2)));
+  EXPECT_TRUE(Ring.tryPush(Item, RingCapacity(2)));
+  EXPECT_FALSE(Ring.tryPush(Item, RingCapacity(2)));
+  EXPECT_TRUE(Ring.tryPush(Item));
+  EXPECT_FALSE(Ring.tryPush(Item, RingCapacity(9)));
+}
+
 } // namespace
 } // namespace jaybridge
