--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -9,8 +9,8 @@
 
 constexpr RingCapacity ControlRingCapacity(16384);
 /// Reports of attempts are dropped while this many events wait, since operators
-/// and instances wait for the events behind them. What a report lacks comes
-/// with later ones.
+/// and instances wait for the events behind them. A failure that lasts shows in
+/// later reports, too.
 constexpr RingCapacity EvidenceBacklog(256);
 /// Fits a complete configuration document with tens of thousands of routes.
 constexpr ByteCount MaxDocumentSize(32UL * 1024 * 1024);
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -36,6 +36,14 @@
   return FailureDomain("d" + std::to_string(Index % DomainCount));
 }
 
+std::string RegistryFleet::routes(const std::string &ChangedService) {
+  std::string Text;
+  for (int Index = 0; Index < 20; ++Index)
+    Text += " h" + std::to_string(Index) + ".example " +
+            (Index == 10 ? ChangedService : "s") + "}\n";
+  return Text;
+}
+
 RegistryFleet::RegistryFleet(std::size_t MemberCount,
                              std::size_t GatewayCount) {
   for (std::size_t Index = 0; Index < MemberCount; ++Index) {
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -42,6 +42,10 @@
   static constexpr std::size_t DomainCount = 3;
   static FailureDomain domain(std::size_t Index);
 
+  /// Routes of a configuration, of which one goes to the given service. Long
+  /// enough that a change of it is stored as a delta.
+  static std::string routes(const std::string &ChangedService);
+
   void run(Duration Time);
   /// Runs until a leader is elected and announces the instance to it.
   void electAndAnnounce(const InstanceRecord &Instance);
--- a/Tests/LibRegistry/TestFullDisks.cpp
+++ b/Tests/LibRegistry/TestFullDisks.cpp
@@ -5,14 +5,6 @@
 namespace jaybridge {
 namespace {
 
-std::string routes(const std::string &ChangedService) {
-  std::string Text;
-  for (int Index = 0; Index < 20; ++Index)
-    Text += " h" + std::to_string(Index) + ".example " +
-            (Index == 10 ? ChangedService : "s") + "}\n";
-  return Text;
-}
-
 struct FullDiskCase {
   const char *Name_;
   /// Content that a second operator sends under the version of the first.
@@ -31,9 +23,11 @@
     if (Leader == MemberCount)
       return;
     if (GetParam().OtherService_)
-      Fleet_.writeDocument(Leader, Version_, routes(*GetParam().OtherService_));
+      Fleet_.writeDocument(Leader, Version_,
+                           RegistryFleet::routes(*GetParam().OtherService_));
     Sent_.push_back(Fleet_.writeDocument(
-        Leader, Version_, routes("v" + std::to_string(Version_))));
+        Leader, Version_,
+        RegistryFleet::routes("v" + std::to_string(Version_))));
   }
   void sendChangesFor(Duration Time) {
     for (Duration Passed{}; Passed < Time; Passed += RegistryFleet::TimeStep) {
@@ -74,7 +68,7 @@
   sendChangesFor(2s);
   EXPECT_GT(Version_, Last) << "no change was acknowledged any more";
   ASSERT_LT(Fleet_.leader(), MemberCount);
-  const std::string Text = routes("last");
+  const std::string Text = RegistryFleet::routes("last");
   auto Changed = Fleet_.writeDocument(Fleet_.leader(), Version_ + 1, Text);
   Fleet_.run(500ms);
   EXPECT_TRUE(Fleet_.hasAnswer<Acknowledged>(Changed));
--- a/Tests/LibRegistry/TestLeadershipChange.cpp
+++ b/Tests/LibRegistry/TestLeadershipChange.cpp
@@ -15,16 +15,6 @@
                         Incarnation(StartIncarnation)};
 }
 
-/// Routes of a configuration, of which one goes to the given service. Long
-/// enough that a change of it is stored as a delta.
-std::string routes(const std::string &ChangedService) {
-  std::string Text;
-  for (int Index = 0; Index < 20; ++Index)
-    Text += " h" + std::to_string(Index) + ".example " +
-            (Index == 10 ? ChangedService : "s") + "}\n";
-  return Text;
-}
-
 /// All members restart, and a request reaches the new leader before the entries
 /// of its log are committed again.
 class UnappliedLogTest : public testing::Test {
@@ -32,7 +22,7 @@
   void SetUp() override {
     Fleet_.run(8s);
     ASSERT_LT(Fleet_.leader(), MemberCount);
-    Fleet_.writeDocument(Fleet_.leader(), 3, routes("s"));
+    Fleet_.writeDocument(Fleet_.leader(), 3, RegistryFleet::routes("s"));
     Fleet_.announce(Fleet_.leader(), instance(5));
     Fleet_.run(300ms);
   }
@@ -62,14 +52,14 @@
 // Guards against a configuration that is spliced from two documents: a change
 // whose version is in the log already must not become the base of the next one.
 TEST_P(EqualVersionTest, IsNotTheBaseOfTheNextChange) {
-  Fleet_.writeDocument(Fleet_.leader(), 4, routes("first"));
+  Fleet_.writeDocument(Fleet_.leader(), 4, RegistryFleet::routes("first"));
   Fleet_.run(300ms);
   restartMembers();
-  auto Raced = Fleet_.writeDocument(Fleet_.leader(), 4,
-                                    routes(GetParam().OtherService_));
+  auto Raced = Fleet_.writeDocument(
+      Fleet_.leader(), 4, RegistryFleet::routes(GetParam().OtherService_));
   Fleet_.run(500ms);
   EXPECT_TRUE(Fleet_.hasAnswer<Acknowledged>(Raced));
-  const std::string Next = routes("second");
+  const std::string Next = RegistryFleet::routes("second");
   auto Changed = Fleet_.writeDocument(Fleet_.leader(), 5, Next);
   Fleet_.run(500ms);
   ASSERT_TRUE(Fleet_.hasAnswer<Acknowledged>(Changed));
