--- /dev/null
+++ b/Libraries/LibProfile/Team.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Quantity.h>
+#include <LibCore/Time.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jaybridge {
+
+/// A group of callers that share keys, a priority and a limit.
+using TeamName = Identifier<struct TeamNameTag>;
+/// Requests per second.
+using RequestRate = Quantity<struct RequestRateTag, double>;
+/// Number of requests, also a fraction of one while tokens accumulate.
+using RequestTokens = Quantity<struct RequestTokensTag, double>;
+
+/// Limit of a team over all gateways together.
+struct TeamLimit {
+  RequestRate Rate_;
+  RequestTokens Burst_;
+
+  friend bool operator==(const TeamLimit &, const TeamLimit &) = default;
+};
+
+} // namespace jaybridge
