LibRegistry, LibRouting: Split the control service and the dispatcher

RegistryRequests holds the requests that wait for the log, NotificationSchedule the times of regular messages, AttemptAnswer what follows from the end of an attempt. No behaviour changes.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -5,7 +5,8 @@
 #include <LibRegistry/FleetEvidence.h>
 #include <LibRegistry/InstanceHistory.h>
 #include <LibRegistry/MemberDomains.h>
-#include <LibRegistry/PendingDocument.h>
+#include <LibRegistry/NotificationSchedule.h>
+#include <LibRegistry/RegistryRequests.h>
 #include <LibRegistry/RetryPool.h>
 #include <LibRegistry/ServiceRegistry.h>
 #include <LibRegistry/SubscriberTable.h>
@@ -31,7 +32,7 @@
 
   ControlService(ControlSettings Settings, ReplicatedLog Log)
       : Settings_(std::move(Settings)), Log_(std::move(Log)),
-        Retries_(Settings_.RetryAllowance_) {}
+        Schedule_(Settings_), Retries_(Settings_.RetryAllowance_) {}
 
   void handle(const Event &Incoming, TimePoint Now, Effects &Out) {
     std::visit([&](const auto &Concrete) { on(Concrete, Now, Out); }, Incoming);
@@ -42,17 +43,15 @@
     if (auto Change = VoterPolicy_.decide(Log_, Now))
       Log_.handle(*Change, Now, LogEffects_);
     applyLogEffects(Now, Out);
-    if (Now >= NextHeartbeat_)
+    if (Schedule_.isHeartbeatDue(Now))
       sendHeartbeat(Now, Out);
-    if (Now >= NextReport_)
+    if (Schedule_.isReportDue(Now))
       report(Now, Out);
-    if (Log_.isLeader() && Now >= NextLeaderUpdate_)
+    if (Log_.isLeader() && Schedule_.isLeaderUpdateDue(Now))
       notifyFollowers(Now, Out);
   }
   std::optional<TimePoint> nextDeadline() const {
-    TimePoint Next = std::min(NextHeartbeat_, NextReport_);
-    if (Log_.isLeader())
-      Next = std::min(Next, NextLeaderUpdate_);
+    TimePoint Next = Schedule_.nextDeadline(Log_.isLeader());
     if (auto Due = Log_.nextDeadline())
       Next = std::min(Next, *Due);
     return Next;
@@ -68,20 +67,10 @@
   }
 
 private:
-  /// As many changes as operators have in progress at once.
-  static constexpr std::size_t MaxDeferredWrites = 8;
-
   struct PendingSubscriber {
     SubscribeRequest Request_;
     TimePoint ReceivedAt_;
   };
-  struct PendingChange {
-    std::vector<ControlRequestId> Requests_;
-    /// The configuration version that must be in force after the change; 0 if
-    /// the change sets none.
-    ConfigurationVersion Version_;
-  };
-
   // Replication messages and completed writes.
   void on(const ReplicationMessage &Received, TimePoint Now, Effects &) {
     Log_.handle(Received, Now, LogEffects_);
@@ -96,90 +85,26 @@
   // Requests of instances and operators.
   void on(const AnnounceRequest &Request, TimePoint Now, Effects &Out) {
     if (isCurrent(Now) && !Registry_.isNewer(Request.Record_))
-      return answer(
+      return Requests_.answer(
           Request.RequestId_,
           Acknowledged{chooseNearbyMember(members(), Request.Record_)}, Out);
-    propose(Request.RequestId_, StoreInstance{Request.Record_}, Now, Out);
+    Requests_.propose(Request.RequestId_, StoreInstance{Request.Record_},
+                      replica(), Now, Out);
   }
   void on(const DeregisterRequest &Request, TimePoint Now, Effects &Out) {
     // Entries that are not applied yet may register the instance or a later
     // start of it, so that only the log decides what is removed.
-    propose(Request.RequestId_, RemoveInstance{Request.Id_, Request.Version_},
-            Now, Out);
+    Requests_.propose(Request.RequestId_,
+                      RemoveInstance{Request.Id_, Request.Version_}, replica(),
+                      Now, Out);
   }
   void on(const DocumentWriteRequest &Request, TimePoint Now, Effects &Out) {
-    if (redirectToLeader(Request.RequestId_, Out))
-      return;
-    // The entries of earlier leaders may contain this version or later ones.
-    if (!Log_.hasCommittedInTerm())
-      return deferWrite(Request, Out);
-    const ConfigurationVersion Version = Request.Document_.Version_;
-    if (Version <= Registry_.version())
-      return answer(Request.RequestId_, Acknowledged{}, Out);
-    // A version that is not newer than the pending one needs no log entry: it
-    // is answered together with the pending change.
-    if (auto Proposal = PendingDocument_.proposalOf(Version))
-      if (auto Found = PendingChanges_.find(*Proposal);
-          Found != PendingChanges_.end())
-        return Found->second.Requests_.push_back(Request.RequestId_);
-    std::optional<DocumentDelta> Delta;
-    if (const auto &Base = PendingDocument_.base(Registry_.document()))
-      Delta = computeDelta(*Base, Request.Document_);
-    RegistryCommand Command = Request.Document_;
-    if (Delta)
-      Command = std::move(*Delta);
-    if (propose(Request.RequestId_, Command, Now, Out))
-      PendingDocument_.add(Request.Document_, LastProposal_);
+    Requests_.write(Request, replica(), Now, Out);
   }
   void on(const DocumentReadRequest &Request, TimePoint Now, Effects &Out) {
-    if (redirectToLeader(Request.RequestId_, Out))
-      return;
-    LastRead_ = LastRead_.next();
-    PendingReads_[LastRead_] = Request.RequestId_;
-    Log_.handle(ReadIndexRequest{LastRead_}, Now, LogEffects_);
-  }
-
-  /// Proposes a command and answers the request once it is committed. Returns
-  /// whether the command was added to the log.
-  bool propose(ControlRequestId RequestId, const RegistryCommand &Command,
-               TimePoint Now, Effects &Out) {
-    if (redirectToLeader(RequestId, Out))
-      return false;
-    LastProposal_ = LastProposal_.next();
-    PendingChanges_[LastProposal_] =
-        PendingChange{{RequestId}, versionOf(Command)};
-    const LogIndex LastIndex = Log_.entries().lastIndex();
-    Log_.handle(ProposalRequest{LastProposal_, Codec::encodeCommand(Command)},
-                Now, LogEffects_);
-    return Log_.entries().lastIndex() > LastIndex;
-  }
-  /// Keeps the request until this leader has applied its log.
-  void deferWrite(const DocumentWriteRequest &Request, Effects &Out) {
-    if (DeferredWrites_.size() >= MaxDeferredWrites)
-      return answer(Request.RequestId_,
-                    NotAvailable{"the leader has not applied its log yet"},
-                    Out);
-    DeferredWrites_.push_back(Request);
-  }
-  void handleDeferredWrites(TimePoint Now, Effects &Out) {
-    if (Log_.isLeader() && !Log_.hasCommittedInTerm())
-      return;
-    for (const DocumentWriteRequest &Request :
-         std::exchange(DeferredWrites_, {}))
-      on(Request, Now, Out);
-  }
-  /// If this member is not the leader, answers the request with a redirect or
-  /// an error and returns true.
-  bool redirectToLeader(ControlRequestId RequestId, Effects &Out) {
-    if (Log_.isLeader())
-      return false;
-    if (Log_.leader())
-      answer(RequestId, RedirectToLeader{*Log_.leader()}, Out);
-    else
-      answer(RequestId,
-             NotAvailable{"no leader of the control members is known"}, Out);
-    return true;
+    Requests_.read(Request, replica(), Now, Out);
   }
+  RegistryReplica replica() { return {Log_, Registry_, LogEffects_}; }
 
   // Messages of gateways and other control members.
   void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out) {
@@ -292,7 +217,8 @@
   void recordAttempts(const Report &Received, TimePoint Now, Effects &Out) {
     if (Evidence_.record(Received.Instances_, Received.Requests_, Registry_,
                          Now))
-      reportEarly(Now, Out);
+      if (Schedule_.advanceReport(Log_.isLeader(), Now))
+        report(Now, Out);
   }
 
   void applyLeaderUpdate(const LeaderUpdate &Update, TimePoint Now,
@@ -310,11 +236,9 @@
     setRequestVerdicts(Update.Requests_, Now, Out);
   }
 
-  /// Asks the leader for its lists, twice in a report interval at most.
   void requestWholeLists(TimePoint Now, Effects &Out) {
-    if (!Log_.leader() || Now < NextListRequest_)
+    if (!Log_.leader() || !Schedule_.tryRequestLists(Now))
       return;
-    NextListRequest_ = Now + Settings_.ReportInterval_ / 2;
     FollowerReport Report = Evidence_.takeReport(Settings_.Domain_);
     Report.NeedsWholeLists_ = true;
     send(*Log_.leader(), std::move(Report), Out);
@@ -326,20 +250,7 @@
       return;
     RequestVerdicts_ = Verdicts;
     Out.emplace_back(RequestVerdictsChanged{RequestVerdicts_});
-    sendHeartbeatEarly(Now);
-  }
-
-  /// Sends changes in quick succession together.
-  void sendHeartbeatEarly(TimePoint Now) {
-    NextHeartbeat_ = std::min(
-        NextHeartbeat_,
-        std::max(Now, LastHeartbeatAt_ + Settings_.MinNotificationInterval_));
-  }
-  void notifyFollowersEarly(TimePoint Now) {
-    NextLeaderUpdate_ =
-        std::min(NextLeaderUpdate_,
-                 std::max(Now, LastLeaderUpdateAt_ +
-                                   Settings_.MinNotificationInterval_));
+    Schedule_.advanceHeartbeat(Now);
   }
 
   /// Returns whether an instance was added.
@@ -352,7 +263,7 @@
     Out.emplace_back(EjectedInstancesChanged{Ejections_.instances()});
     // The end of an ejection can wait for the next regular heartbeat.
     if (HasNewEjection)
-      sendHeartbeatEarly(Now);
+      Schedule_.advanceHeartbeat(Now);
     return HasNewEjection;
   }
 
@@ -377,8 +288,7 @@
   }
 
   void sendHeartbeat(TimePoint Now, Effects &Out) {
-    NextHeartbeat_ = Now + Settings_.HeartbeatInterval_;
-    LastHeartbeatAt_ = Now;
+    Schedule_.recordHeartbeat(Now);
     Subscribers_.expire(Now);
     if (!Log_.isLeader() &&
         Now > LeaderUpdateReceivedAt_ + 3 * Settings_.ReportInterval_)
@@ -390,24 +300,10 @@
     notifySubscribers(Now, Out);
   }
 
-  /// Reports failures ahead of the regular interval. Those in quick succession
-  /// are reported together, since the work of the leader's decisions grows with
-  /// the number of instances and would hold up changes.
-  void reportEarly(TimePoint Now, Effects &Out) {
-    const TimePoint Earliest =
-        LastReportAt_ + (Log_.isLeader() ? Settings_.MinNotificationInterval_
-                                         : Settings_.MinReportInterval_);
-    if (Now >= Earliest)
-      report(Now, Out);
-    else
-      NextReport_ = std::min(NextReport_, Earliest);
-  }
-
   /// On a follower, reports the attempts since the last report to the leader;
   /// on the leader, updates its decisions.
   void report(TimePoint Now, Effects &Out) {
-    NextReport_ = Now + Settings_.ReportInterval_;
-    LastReportAt_ = Now;
+    Schedule_.recordReport(Now);
     if (Log_.isLeader()) {
       updateEjections(Now, Out);
       updateRequestVerdicts(Now, Out);
@@ -422,19 +318,18 @@
     if (Verdicts == RequestVerdicts_)
       return;
     setRequestVerdicts(Verdicts, Now, Out);
-    notifyFollowersEarly(Now);
+    Schedule_.advanceLeaderUpdate(Now);
   }
 
   void updateEjections(TimePoint Now, Effects &Out) {
     EjectionSet Selected;
     Selected.assign(Evidence_.selectEjected(Registry_, Settings_.Floor_, Now));
     if (setEjections(std::move(Selected), Now, Out))
-      notifyFollowersEarly(Now);
+      Schedule_.advanceLeaderUpdate(Now);
   }
 
   void notifyFollowers(TimePoint Now, Effects &Out) {
-    NextLeaderUpdate_ = Now + Settings_.ReportInterval_;
-    LastLeaderUpdateAt_ = Now;
+    Schedule_.recordLeaderUpdate(Now);
     LeaderUpdate Update = leaderUpdate();
     Update.Ejections_ = Ejections_.changeFrom(ReportedEjections_);
     ReportedEjections_ = Ejections_;
@@ -466,7 +361,7 @@
         std::visit([&](auto &Concrete) { apply(Concrete, Now, Out); }, Next);
       }
       LogEffects_.clear();
-      handleDeferredWrites(Now, Out);
+      Requests_.handleDeferredWrites(replica(), Now, Out);
     } while (!LogEffects_.empty());
     if (!PendingSubscribers_.empty() && isCurrent(Now))
       answerPendingSubscribers(Now, Out);
@@ -516,34 +411,10 @@
         LogEffects_);
   }
   void apply(ProposalResponse &Decided, TimePoint, Effects &Out) {
-    auto Found = PendingChanges_.find(Decided.Id_);
-    if (Found == PendingChanges_.end())
-      return;
-    PendingChange Pending = std::move(Found->second);
-    PendingChanges_.erase(Found);
-    PendingDocument_.settle(Decided.Id_);
-    ControlReplyBody Reply = Acknowledged{};
-    if (!Decided.Answer_)
-      Reply = NotAvailable{Decided.Answer_.error().Message_};
-    else if (Registry_.version() < Pending.Version_)
-      Reply =
-          NotAvailable{"the change is not based on the configuration in force"};
-    for (ControlRequestId RequestId : Pending.Requests_)
-      answer(RequestId, Reply, Out);
+    Requests_.settle(Decided, Registry_, Out);
   }
   void apply(ReadIndexResponse &Decided, TimePoint, Effects &Out) {
-    auto Found = PendingReads_.find(Decided.Id_);
-    if (Found == PendingReads_.end())
-      return;
-    ControlRequestId RequestId = Found->second;
-    PendingReads_.erase(Found);
-    if (!Decided.Answer_)
-      answer(RequestId, NotAvailable{Decided.Answer_.error().Message_}, Out);
-    else if (!Registry_.document())
-      answer(RequestId, NotAvailable{"no configuration has been accepted yet"},
-             Out);
-    else
-      answer(RequestId, *Registry_.document(), Out);
+    Requests_.settle(Decided, Registry_, Out);
   }
 
   void publish(LogIndex Revision, const std::optional<StoredDocument> &Previous,
@@ -576,12 +447,10 @@
   void send(const MemberId &To, SubscriptionMessage Message, Effects &Out) {
     Out.emplace_back(SendSubscription{To, std::move(Message)});
   }
-  void answer(ControlRequestId RequestId, ControlReplyBody Body, Effects &Out) {
-    Out.emplace_back(ControlRequestAnswered{RequestId, std::move(Body)});
-  }
 
   ControlSettings Settings_;
   ReplicatedLog Log_;
+  NotificationSchedule Schedule_;
   VoterPolicy VoterPolicy_;
   std::vector<ReplicationEffect> LogEffects_;
   ServiceRegistry Registry_;
@@ -605,20 +474,8 @@
   bool WasCurrent_ = false;
   MemberDomains Domains_;
   RetryPool Retries_;
-  std::map<ProposalId, PendingChange> PendingChanges_;
-  PendingDocument PendingDocument_;
-  std::vector<DocumentWriteRequest> DeferredWrites_;
-  std::map<ReadId, ControlRequestId> PendingReads_;
-  ProposalId LastProposal_;
-  ReadId LastRead_;
+  RegistryRequests<Codec> Requests_;
   std::optional<MemberId> KnownLeader_;
-  TimePoint NextHeartbeat_{};
-  TimePoint NextReport_{};
-  TimePoint LastReportAt_{};
-  TimePoint NextLeaderUpdate_{};
-  TimePoint NextListRequest_{};
-  TimePoint LastHeartbeatAt_{};
-  TimePoint LastLeaderUpdateAt_{};
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/RequestDispatcher.h>
 
 #include <LibCore/Verify.h>
+#include <LibRouting/AttemptAnswer.h>
 #include <LibRouting/AttemptClassification.h>
 
 #include <algorithm>
@@ -13,8 +14,6 @@
 /// then the gateway ends it as timed out. Otherwise a missing report would
 /// occupy a slot of the instance forever.
 constexpr Duration ReportTimeout = 5s;
-/// Minimum time after which a refused caller may retry.
-constexpr Duration MinRetryAfter = 100ms;
 /// A request is queued only if its predicted wait is at most the remaining time
 /// divided by this; the rest is left for the service time. At three times the
 /// load and a patience of four service times, a half served 94% of what the
@@ -34,75 +33,6 @@
   }
 }
 
-RefusalReason refusalReasonAfter(AttemptResult Result) {
-  switch (Result) {
-  case AttemptResult::Answered:
-  case AttemptResult::RefusedNotRun:
-  case AttemptResult::ConnectFailed:
-    return RefusalReason::UpstreamUnavailable;
-  case AttemptResult::ConnectionLost:
-    return RefusalReason::ConnectionLost;
-  case AttemptResult::ResponseTruncated:
-    return RefusalReason::AnswerCutShort;
-  case AttemptResult::ResponseTooLarge:
-    return RefusalReason::AnswerTooLarge;
-  case AttemptResult::TimedOut:
-  case AttemptResult::Cancelled:
-    return RefusalReason::UpstreamTimeout;
-  }
-  return RefusalReason::UpstreamUnavailable;
-}
-
-const char *attemptResultName(AttemptResult Result) {
-  switch (Result) {
-  case AttemptResult::Answered:
-    return "answered";
-  case AttemptResult::RefusedNotRun:
-    return "refused-not-run";
-  case AttemptResult::ConnectFailed:
-    return "connect-failed";
-  case AttemptResult::ConnectionLost:
-    return "connection-lost";
-  case AttemptResult::ResponseTruncated:
-    return "cut-short";
-  case AttemptResult::ResponseTooLarge:
-    return "too-large";
-  case AttemptResult::TimedOut:
-    return "timed-out";
-  case AttemptResult::Cancelled:
-    return "cancelled";
-  }
-  return "unknown";
-}
-
-/// Answer for the caller after the last attempt has ended. The outcome of a
-/// refusal follows from all attempts of the request.
-Answer answerAfter(const RequestExecution &Execution,
-                   const AttemptOutcome &AttemptEnd) {
-  if (AttemptEnd.Result_ == AttemptResult::Answered)
-    return AttemptEnd.Response_;
-  Outcome KnownOutcome = AttemptEnd.Result_ == AttemptResult::ResponseTooLarge
-                             ? Outcome::Ran
-                             : Execution.knownOutcome();
-  Refusal Refused{
-      KnownOutcome, refusalReasonAfter(AttemptEnd.Result_), std::nullopt, {}};
-  if (KnownOutcome == Outcome::NotRun)
-    Refused.RetryAfter_ = MinRetryAfter;
-  return Refused;
-}
-
-/// True when the request is answered with this result even if it could be
-/// retried.
-bool isFinal(const RequestExecution &Execution,
-             const AttemptOutcome &AttemptEnd) {
-  if (AttemptEnd.Result_ == AttemptResult::ResponseTooLarge)
-    return true;
-  if (AttemptEnd.Result_ != AttemptResult::Answered)
-    return false;
-  return !Execution.isRepeatable() ||
-         AttemptEnd.Response_.Status_ < MinServerErrorStatus;
-}
-
 } // namespace
 
 ServiceRouter &RequestDispatcher::service(const ServiceName &Name) {
