LibHTTP: Validate the heads of upstreams' responses

Cause: the client forwarded what libcurl accepts, and libcurl accepts more than HTTP/1.1 permits.

Change: ResponseHead, which knows nothing of libcurl, validates the lines that libcurl reports: version 1.0 or 1.1, a status of three digits from 100 to 599 other than 101, interim heads skipped, lengths of digits only that agree, no Transfer-Encoding but a single "chunked", and not together with a length. Lines that begin with white space and names that end with it are malformed too, since either can hide a length. A malformed head ends the transfer before the first byte of its body, as ResponseTruncated: retried where the request may be repeated, never forwarded. So do status lines and encodings that libcurl itself rejects; they counted as a lost connection. The limit of the stated length is checked on the validated length, as libcurl would end the attempt as too large before the check of the head. New counter jaybridge_upstream_responses_malformed.

--- a/Libraries/LibHTTP/UpstreamClient.cpp
+++ b/Libraries/LibHTTP/UpstreamClient.cpp
@@ -53,9 +53,9 @@
   }
 
   UpstreamClientCounts counts() const {
-    return {EventCount(Started_), EventCount(Connections_),
+    return {EventCount(Started_),          EventCount(Connections_),
             EventCount(ResendsPrevented_), EventCount(Misattributed_),
-            EventCount(TooLarge_)};
+            EventCount(Malformed_),        EventCount(TooLarge_)};
   }
 
 private:
@@ -125,8 +125,10 @@
       countConnections(*Transfer);
       const AttemptId Id = Transfer->attempt();
       AttemptOutcome Ended = Transfer->finish(Code, monotonicNow());
-      if (Ended.Result_ == AttemptResult::ResponseTruncated &&
-          Transfer->namesOtherRequest())
+      if (Transfer->isMalformed())
+        Malformed_.fetch_add(1, std::memory_order_relaxed);
+      else if (Ended.Result_ == AttemptResult::ResponseTruncated &&
+               Transfer->namesOtherRequest())
         Misattributed_.fetch_add(1, std::memory_order_relaxed);
       if (Ended.Result_ == AttemptResult::ResponseTooLarge)
         TooLarge_.fetch_add(1, std::memory_order_relaxed);
@@ -195,6 +197,7 @@
   std::atomic<std::uint64_t> Connections_ = 0;
   std::atomic<std::uint64_t> ResendsPrevented_ = 0;
   std::atomic<std::uint64_t> Misattributed_ = 0;
+  std::atomic<std::uint64_t> Malformed_ = 0;
   std::atomic<std::uint64_t> TooLarge_ = 0;
 
   // Accessed by the client's thread only, except for the wakeup.
--- a/Libraries/LibHTTP/UpstreamClient.h
+++ b/Libraries/LibHTTP/UpstreamClient.h
@@ -39,6 +39,8 @@
   EventCount ResendsPrevented_;
   /// Responses that name another request than the one that was sent.
   EventCount Misattributed_;
+  /// Responses whose head violates HTTP/1.1; none of them was forwarded.
+  EventCount Malformed_;
   /// Responses that were cut off because of their size.
   EventCount TooLarge_;
 };
--- a/Libraries/LibHTTP/UpstreamTransfer.cpp
+++ b/Libraries/LibHTTP/UpstreamTransfer.cpp
@@ -11,11 +11,10 @@
 namespace {
 
 constexpr std::size_t MaxHeaderBytes = 64UL * 1024;
-constexpr long StatusUnavailable = 503;
-constexpr long StatusMisdirected = 421;
-constexpr long MinFinalStatus = 200;
-constexpr long MinRedirectionStatus = 300;
-constexpr long MinErrorStatus = 400;
+constexpr StatusCode StatusUnavailable(503);
+constexpr StatusCode StatusMisdirected(421);
+constexpr StatusCode MinRedirectionStatus(300);
+constexpr StatusCode MinErrorStatus(400);
 
 template <typename Value>
 void setOption(CURL *Handle, CURLoption Option, Value Setting) {
@@ -43,6 +42,13 @@
                               : Field.Name_ + ": " + Field.Value_;
 }
 
+/// True when libcurl rejected the status line or the encoding itself, before it
+/// reported the line.
+bool isRejectedHead(CURLcode Code) {
+  return Code == CURLE_UNSUPPORTED_PROTOCOL ||
+         Code == CURLE_WEIRD_SERVER_REPLY || Code == CURLE_BAD_CONTENT_ENCODING;
+}
+
 } // namespace
 
 UpstreamTransfer::UpstreamTransfer(SendAttempt Attempt, EasyHandle Handle,
@@ -50,7 +56,8 @@
                                    ResponseBuffers &Buffers, TimePoint Now)
     : Attempt_(std::move(Attempt)), Handle_(std::move(Handle)), StartedAt_(Now),
       AnswerLimit_(Options.AnswerLimit_), Buffers_(Buffers),
-      Dialect_(Options.Dialect_), Body_(Buffers) {
+      Dialect_(Options.Dialect_), Head_(Attempt_.Request_->Method_),
+      Body_(Buffers) {
   const Duration RemainingTime = Attempt_.Deadline_ - Now;
   setRequest();
   setHeaders(RemainingTime);
@@ -96,9 +103,6 @@
     setOption(Easy, CURLOPT_NOBODY, 1L);
     return;
   }
-  // Ends the transfer at once when the stated length is above the limit.
-  setOption(Easy, CURLOPT_MAXFILESIZE_LARGE,
-            static_cast<curl_off_t>(AnswerLimit_.value()));
   if (HasBody || Sent.Method_ == "POST" || Sent.Method_ == "PUT") {
     // libcurl does not copy the body; Attempt_ keeps it alive.
     setOption(Easy, CURLOPT_POSTFIELDS, HasBody ? Sent.Body_->data() : "");
@@ -169,35 +173,26 @@
     IsResponseTooLarge_ = true;
     return false;
   }
-  while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
-    Line.remove_suffix(1);
-  // Lines after the end of the headers belong to the final response that
-  // follows an interim response, or are trailers, which are not forwarded.
-  if (Line.starts_with("HTTP/")) {
-    ResponseHeaders_.clear();
-    AreHeadersComplete_ = false;
-    return true;
-  }
-  if (AreHeadersComplete_)
-    return true;
-  if (Line.empty()) {
-    AreHeadersComplete_ = true;
-    return true;
+  const bool WasComplete = Head_.isComplete();
+  Head_.addLine(Line);
+  if (Head_.isMalformed())
+    return false;
+  // Ends the transfer before the body when the stated length is above the
+  // limit.
+  if (!WasComplete && Head_.isComplete() && Head_.hasBody() &&
+      Head_.length().value_or(ByteCount(0)) > AnswerLimit_) {
+    cutOff();
+    return false;
   }
-  const std::size_t Colon = Line.find(':');
-  if (Colon == std::string_view::npos)
-    return true;
-  std::string_view Value = Line.substr(Colon + 1);
-  const std::size_t ValueStart = Value.find_first_not_of(" \t");
-  Value.remove_prefix(ValueStart == std::string_view::npos ? Value.size()
-                                                           : ValueStart);
-  Value = Value.substr(0, Value.find_last_not_of(" \t") + 1);
-  ResponseHeaders_.push_back(
-      Header{std::string(Line.substr(0, Colon)), std::string(Value)});
   return true;
 }
 
 std::size_t UpstreamTransfer::addBody(std::string_view Bytes) {
+  // libcurl takes some heads in another way than ResponseHead.
+  if (!Head_.isComplete())
+    return CURL_WRITEFUNC_ERROR;
+  if (!Head_.hasBody())
+    return Bytes.size();
   if (Body_.size() + Bytes.size() > AnswerLimit_.value()) {
     cutOff();
     return CURL_WRITEFUNC_ERROR;
@@ -220,40 +215,36 @@
     curl_easy_pause(Handle_.get(), CURLPAUSE_CONT);
 }
 
-long UpstreamTransfer::statusCode() const {
-  long Status = 0;
-  curl_easy_getinfo(Handle_.get(), CURLINFO_RESPONSE_CODE, &Status);
-  return Status;
-}
-
 AttemptResult UpstreamTransfer::resultOf(CURLcode Code) const {
   if (!IsSendStarted_)
     return AttemptResult::ConnectFailed;
-  if (IsResponseTooLarge_ || Code == CURLE_FILESIZE_EXCEEDED)
+  if (IsResponseTooLarge_)
     return AttemptResult::ResponseTooLarge;
   if (Code == CURLE_OPERATION_TIMEDOUT)
     return AttemptResult::TimedOut;
+  if (IsMalformed_)
+    return AttemptResult::ResponseTruncated;
   // A connection that ends within the status line counts as lost, since libcurl
   // reports complete lines only.
   if (!IsResponseStarted_)
     return AttemptResult::ConnectionLost;
-  const long Status = statusCode();
   // libcurl reports success when the connection ends within the headers.
-  if (Code != CURLE_OK || !AreHeadersComplete_ || Status < MinFinalStatus)
+  if (Code != CURLE_OK || !Head_.isComplete())
     return AttemptResult::ResponseTruncated;
-  if (isNotRunResponse(Status))
+  if (isNotRunResponse())
     return isRefusalOfAttempt() ? AttemptResult::RefusedNotRun
                                 : AttemptResult::ResponseTruncated;
-  return isResponseToAttempt(Status) ? AttemptResult::Answered
-                                     : AttemptResult::ResponseTruncated;
+  return isResponseToAttempt() ? AttemptResult::Answered
+                               : AttemptResult::ResponseTruncated;
 }
 
-bool UpstreamTransfer::isNotRunResponse(long Status) const {
+bool UpstreamTransfer::isNotRunResponse() const {
+  const StatusCode Status = Head_.status();
   // Another instance at this address refuses a request that carries the
   // ExpectedInstance_ header with 421.
   if (Status == StatusMisdirected && !Dialect_.ExpectedInstance_.empty())
     return true;
-  const Header *NotRunField = findHeader(ResponseHeaders_, Dialect_.NotRun_);
+  const Header *NotRunField = findHeader(Head_.fields(), Dialect_.NotRun_);
   if (!NotRunField || Status < MinErrorStatus)
     return false;
   return Dialect_.NotRunValue_.empty() ||
@@ -272,7 +263,7 @@
     return false;
   long NewConnections = 0;
   curl_easy_getinfo(Handle_.get(), CURLINFO_NUM_CONNECTS, &NewConnections);
-  return NewConnections > 0 || findHeader(ResponseHeaders_, requestIdHeader());
+  return NewConnections > 0 || findHeader(Head_.fields(), requestIdHeader());
 }
 
 bool UpstreamTransfer::namesOtherRequest() const {
@@ -280,31 +271,30 @@
   const std::optional<RequestId> OwnId =
       Dialect_.CallerRequestId_.empty() ? Sent.Id_ : Sent.CallerId_;
   const std::string_view Name = requestIdHeader();
-  return std::any_of(ResponseHeaders_.begin(), ResponseHeaders_.end(),
+  return std::any_of(Head_.fields().begin(), Head_.fields().end(),
                      [&](const Header &Field) {
                        return isSameHeaderName(Field.Name_, Name) &&
                               (!OwnId || Field.Value_ != OwnId->text());
                      });
 }
 
-bool UpstreamTransfer::isResponseToAttempt(long Status) const {
-  const bool IsSuccess =
-      Status >= MinFinalStatus && Status < MinRedirectionStatus;
+bool UpstreamTransfer::isResponseToAttempt() const {
+  const bool IsSuccess = Head_.status() < MinRedirectionStatus;
   if (Dialect_.CallerRequestId_.empty())
     return true;
   if (namesOtherRequest())
     return false;
   if (!IsSuccess)
     return true;
-  return findHeader(ResponseHeaders_, Dialect_.CallerRequestId_) &&
+  return findHeader(Head_.fields(), Dialect_.CallerRequestId_) &&
          (Dialect_.Signature_.empty() ||
-          findHeader(ResponseHeaders_, Dialect_.Signature_));
+          findHeader(Head_.fields(), Dialect_.Signature_));
 }
 
 std::optional<SlotCount> UpstreamTransfer::reportedLoad() const {
-  if (Dialect_.Load_.empty())
+  if (IsMalformed_ || Dialect_.Load_.empty())
     return std::nullopt;
-  const Header *LoadField = findHeader(ResponseHeaders_, Dialect_.Load_);
+  const Header *LoadField = findHeader(Head_.fields(), Dialect_.Load_);
   if (!LoadField)
     return std::nullopt;
   unsigned Running = 0;
@@ -316,17 +306,18 @@
 
 AttemptOutcome UpstreamTransfer::finish(CURLcode Code, TimePoint Now) {
   AttemptOutcome Ended;
+  IsMalformed_ =
+      IsSendStarted_ && (Head_.isMalformed() || isRejectedHead(Code));
   Ended.Result_ = resultOf(Code);
   Ended.Elapsed_ = Now - StartedAt_;
   Ended.ReportedLoad_ = reportedLoad();
   if (Ended.Result_ != AttemptResult::Answered &&
       Ended.Result_ != AttemptResult::RefusedNotRun)
     return Ended;
-  removeHopByHopHeaders(ResponseHeaders_);
-  Ended.Response_ =
-      Response{StatusCode(static_cast<std::uint16_t>(statusCode())),
-               std::move(ResponseHeaders_),
-               std::make_shared<const std::string>(Body_.take())};
+  std::vector<Header> Fields = Head_.takeFields();
+  removeHopByHopHeaders(Fields);
+  Ended.Response_ = Response{Head_.status(), std::move(Fields),
+                             std::make_shared<const std::string>(Body_.take())};
   return Ended;
 }
 
--- a/Libraries/LibHTTP/UpstreamTransfer.h
+++ b/Libraries/LibHTTP/UpstreamTransfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHTTP/ResponseBuffers.h>
+#include <LibHTTP/ResponseHead.h>
 #include <LibHTTP/UpstreamClient.h>
 
 #include <curl/curl.h>
@@ -39,6 +40,9 @@
   CURL *handle() const { return Handle_.get(); }
   AttemptId attempt() const { return Attempt_.Attempt_; }
   bool wasResendPrevented() const { return WasResendPrevented_; }
+  /// Whether a finished transfer received something that is no response of
+  /// HTTP/1.0 or 1.1.
+  bool isMalformed() const { return IsMalformed_; }
   /// Whether the response names another request than that of this attempt.
   bool namesOtherRequest() const;
   std::size_t heldBytes() const { return Body_.heldBytes(); }
@@ -59,16 +63,16 @@
                             void *UserData);
   static int onBeforeSend(void *UserData, char *, char *, int, int);
 
+  /// Returns false when the transfer has to end.
   bool addHeaderLine(std::string_view Line);
   /// Returns the number of bytes taken, or CURL_WRITEFUNC_PAUSE.
   std::size_t addBody(std::string_view Bytes);
   void setRequest();
   void setHeaders(Duration RemainingTime);
   void setConnection(const UpstreamClientOptions &Options);
-  long statusCode() const;
   /// Name of the header in which the upstream echoes the request id.
   std::string_view requestIdHeader() const;
-  bool isNotRunResponse(long Status) const;
+  bool isNotRunResponse() const;
   /// Whether a refusal belongs to this attempt: it must not name another
   /// request. On a reused connection it must echo the request id, because the
   /// upstream may have written a refusal of an earlier request again.
@@ -76,7 +80,7 @@
   /// Whether a response other than a refusal belongs to this attempt: it must
   /// not name another request, and a 2xx response must echo the request id and
   /// carry the signature. Only headers that the dialect names are checked.
-  bool isResponseToAttempt(long Status) const;
+  bool isResponseToAttempt() const;
   std::optional<SlotCount> reportedLoad() const;
   AttemptResult resultOf(CURLcode Code) const;
 
@@ -94,9 +98,9 @@
   bool IsResponseTooLarge_ = false;
   bool IsPaused_ = false;
   bool IsResponseStarted_ = false;
-  bool AreHeadersComplete_ = false;
+  bool IsMalformed_ = false;
   std::size_t HeaderBytes_ = 0;
-  std::vector<Header> ResponseHeaders_;
+  ResponseHead Head_;
   BufferedBody Body_;
 };
 
--- a/Services/jaybridged/DaemonOperators.cpp
+++ b/Services/jaybridged/DaemonOperators.cpp
@@ -63,6 +63,7 @@
       {"jaybridge_resends_prevented_total", Upstreams.ResendsPrevented_},
       {"jaybridge_upstream_responses_misattributed_total",
        Upstreams.Misattributed_},
+      {"jaybridge_upstream_responses_malformed_total", Upstreams.Malformed_},
       {"jaybridge_upstream_responses_too_large_total", Upstreams.TooLarge_},
       {"jaybridge_peer_messages_sent_total", Peers.Sent_},
       {"jaybridge_peer_messages_received_total", Peers.Received_},
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -277,6 +277,7 @@
   Set("jaybridge_configuration_version", EventCount(AppliedVersion_));
   const UpstreamClientCounts Upstreams = RequestPath_->upstreams().counts();
   Set("jaybridge_upstream_responses_misattributed", Upstreams.Misattributed_);
+  Set("jaybridge_upstream_responses_malformed", Upstreams.Malformed_);
   Set("jaybridge_upstream_responses_too_large", Upstreams.TooLarge_);
   return Metrics_.text();
 }
