LibProfile: Add the directory of teams to the routing table

Rate limits and the check of keys need the teams of the configuration in force. TeamDirectory holds them by name and by key; RoutingTable::teams() returns it.

--- a/Libraries/LibProfile/RoutingTable.cpp
+++ b/Libraries/LibProfile/RoutingTable.cpp
@@ -45,6 +45,7 @@
     ServiceName Name = Service.Name_;
     Created.Services_.insert_or_assign(std::move(Name), std::move(Service));
   }
+  JAYBRIDGE_TRY(Created.Teams_, TeamDirectory::create(std::move(Draft.Teams_)));
   for (RouteDraft &RouteValues : Draft.Routes_)
     JAYBRIDGE_TRY_STATUS(Created.add(std::move(RouteValues)));
   for (auto &[Host, Routes] : Created.Hosts_)
--- a/Libraries/LibProfile/RoutingTable.h
+++ b/Libraries/LibProfile/RoutingTable.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <LibProfile/RoutePriority.h>
 #include <LibProfile/ServicePolicy.h>
+#include <LibProfile/TeamDirectory.h>
 
 #include <map>
 #include <memory>
@@ -14,8 +16,6 @@
 using SplitWeight = Quantity<struct SplitWeightTag, std::uint32_t>;
 /// Number of instances that one request may be sent to, including the first.
 using AttemptCount = Quantity<struct AttemptCountTag, std::uint32_t>;
-/// Priority of a route; 0 is the highest.
-using RoutePriority = Quantity<struct RoutePriorityTag, std::uint32_t>;
 
 /// A service that receives a share of a route's requests.
 struct WeightedService {
@@ -39,6 +39,8 @@
   Duration TargetLatency_ = std::chrono::seconds(1);
   AttemptCount MaxAttempts_ = AttemptCount(1);
   RoutePriority Priority_;
+  /// Requests need no key, also if the table has teams.
+  bool IsPublic_ = false;
 };
 
 /// Definition of a service in the configuration.
@@ -52,6 +54,7 @@
   ConfigurationVersion Version_;
   std::vector<RouteDraft> Routes_;
   std::vector<ServiceDefinition> Services_;
+  std::vector<TeamDraft> Teams_;
 };
 
 /// A validated route with the profile that applies to its requests.
@@ -74,6 +77,8 @@
   const std::map<ServiceName, ServiceDefinition> &services() const {
     return Services_;
   }
+  /// Empty if the configuration has no teams: requests then need no key.
+  const TeamDirectory &teams() const { return Teams_; }
   std::size_t routeCount() const { return RouteCount_; }
   /// One policy per service, with the values that apply to all of its routes.
   std::vector<ServicePolicy> policies() const;
@@ -87,6 +92,7 @@
   /// Routes of each host, longest prefix first.
   std::map<HostName, std::vector<Route>> Hosts_;
   std::size_t RouteCount_ = 0;
+  TeamDirectory Teams_;
 };
 
 /// Host name of a `Host` header or authority, in lower case without the port.
--- a/Libraries/LibProfile/Team.h
+++ b/Libraries/LibProfile/Team.h
@@ -10,8 +10,6 @@
 
 namespace jaybridge {
 
-/// A group of callers that share keys, a priority and a limit.
-using TeamName = Identifier<struct TeamNameTag>;
 /// Requests per second.
 using RequestRate = Quantity<struct RequestRateTag, double>;
 /// Number of requests, also a fraction of one while tokens accumulate.
