LibQuota: Decide about rate limits of teams across the fleet

A team's limit applies to all gateways together, and a few requests per second can arrive at any of them. Tokens are issued by the leader of the control members (TokenIssuer), passed on by each member to its gateways (TokenRelay) and spent by gateways for a short time (GatewayTokens).

--- /dev/null
+++ b/Libraries/LibQuota/GatewayTokens.cpp
@@ -0,0 +1,98 @@
+#include <LibQuota/GatewayTokens.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace jaybridge {
+
+void GatewayTokens::setLimits(TeamLimits Limits) {
+  Limits_ = std::move(Limits);
+  std::erase_if(Teams_, [&](const auto &Known) {
+    return !Limits_.contains(Known.first);
+  });
+}
+
+std::optional<SpentToken> GatewayTokens::take(const TeamName &Name,
+                                              TimePoint Now) {
+  Team &Used = Teams_[Name];
+  if (auto Held = Holder_.take(Name, Now)) {
+    if (!Used.Fallback_)
+      Used.Use_.record(RequestTokens(1), Now);
+    return SpentToken{Held};
+  }
+  if (Holder_.hasContact(Now)) {
+    Used.Fallback_.reset();
+    return std::nullopt;
+  }
+  return takeWithoutContact(Name, Used, Now);
+}
+
+std::optional<SpentToken>
+GatewayTokens::takeWithoutContact(const TeamName &Name, Team &Used,
+                                  TimePoint Now) {
+  const auto Limit = Limits_.find(Name);
+  if (Limit == Limits_.end())
+    return std::nullopt;
+  if (!Used.Fallback_) {
+    const TimePoint LostAt = Holder_.waitsSince().value_or(Now);
+    const double RefillOfWindow =
+        Limit->second.Rate_.value() *
+        std::chrono::duration<double>(TokenUseWindow).count();
+    const double ShareOfRefill =
+        RefillOfWindow / (RefillOfWindow + Limit->second.Burst_.value());
+    Used.Fallback_.emplace(
+        TeamLimit{RequestRate(Used.Use_.rate(LostAt).value() * ShareOfRefill),
+                  RequestTokens(1)},
+        RequestTokens{}, LostAt + TokenContactTimeout);
+  }
+  Used.Fallback_->refill(RequestTokens(1), Now);
+  if (Used.Fallback_->take(RequestTokens(1)) < RequestTokens(1))
+    return std::nullopt;
+  Holder_.reserve(Name, RequestTokens(1));
+  return SpentToken{};
+}
+
+void GatewayTokens::putBack(const TeamName &Name, const SpentToken &Token,
+                            TimePoint Now) {
+  if (!Token.Held_ || !Limits_.contains(Name))
+    return;
+  Holder_.putBack(Name, *Token.Held_, Now);
+  Teams_[Name].Use_.record(RequestTokens(-1), Now);
+}
+
+bool GatewayTokens::request(const TeamName &Name, TimePoint Now) {
+  if (refusalTime(Name, Now))
+    return false;
+  const double Stock = Teams_[Name].Use_.rate(Now).value() *
+                       std::chrono::duration<double>(StockDuration).count();
+  return Holder_.request(Name, RequestTokens(1 + std::floor(Stock)), Now);
+}
+
+std::optional<Duration> GatewayTokens::refusalTime(const TeamName &Name,
+                                                   TimePoint Now) const {
+  const auto Known = Teams_.find(Name);
+  if (Known == Teams_.end() || Now >= Known->second.RefusedUntil_)
+    return std::nullopt;
+  return std::max(Known->second.AvailableAt_, Known->second.RefusedUntil_) -
+         Now;
+}
+
+bool GatewayTokens::accept(const TokenGrant &Grant, TimePoint Now) {
+  if (!Holder_.accept(Grant, Now))
+    return false;
+  if (Holder_.hasContact(Now))
+    for (auto &[Name, Used] : Teams_)
+      Used.Fallback_.reset();
+  for (const TokenShare &Share : Grant.Shares_) {
+    const auto Known = Teams_.find(Share.Team_);
+    if (Known == Teams_.end() || !Share.RetryAfter_)
+      continue;
+    const Duration Wait = std::max(*Share.RetryAfter_, Duration::zero());
+    Known->second.AvailableAt_ = Now + Wait;
+    Known->second.RefusedUntil_ =
+        Now + std::clamp(Wait, MinRefusalDuration, MaxRefusalDuration);
+  }
+  return true;
+}
+
+} // namespace jaybridge
--- /dev/null
+++ b/Libraries/LibQuota/TokenUse.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibQuota/TokenMessages.h>
+
+#include <array>
+
+namespace jaybridge {
+
+/// Tokens that were used in the last TokenUseWindow.
+class TokenUse {
+public:
+  void record(RequestTokens Tokens, TimePoint Now);
+  RequestTokens total(TimePoint Now) const;
+  /// Mean over the window.
+  RequestRate rate(TimePoint Now) const;
+
+private:
+  static constexpr std::size_t SlotCount = 10;
+  static constexpr Duration SlotLength = TokenUseWindow / SlotCount;
+  static std::int64_t slotAt(TimePoint Now) {
+    return Now.time_since_epoch() / SlotLength;
+  }
+
+  std::array<RequestTokens, SlotCount> Slots_{};
+  std::int64_t LastSlot_ = 0;
+};
+
+} // namespace jaybridge
