--- a/Meta/CMake/Package.cmake
+++ b/Meta/CMake/Package.cmake
@@ -60,11 +60,32 @@
 
 # Builds all *.cpp files of the current folder into the test program TestLibX
 # and registers each of its test cases with ctest.
-# jaybridge_test(LibX [DEPENDS LibY ...] [LIBRARIES external ...])
+# With SOURCES, only these files are built, and not by the folder's program
+# without SOURCES, which must be declared later. With SERIAL, ctest runs no
+# other test beside these.
+# jaybridge_test(LibX [NAME program suffix] [SERIAL] [SOURCES file ...]
+#                [DEPENDS LibY ...] [LIBRARIES external ...])
 function(jaybridge_test PACKAGE)
-  cmake_parse_arguments(P "" "" "DEPENDS;LIBRARIES" ${ARGN})
+  cmake_parse_arguments(P "SERIAL" "NAME" "SOURCES;DEPENDS;LIBRARIES" ${ARGN})
+  if(NOT P_NAME)
+    set(P_NAME ${PACKAGE})
+  endif()
   file(GLOB SOURCES CONFIGURE_DEPENDS *.cpp)
-  set(TARGET Test${PACKAGE})
+  if(P_SOURCES)
+    set(SOURCES ${P_SOURCES})
+    list(FILTER P_SOURCES INCLUDE REGEX "^Test")
+    set_property(DIRECTORY APPEND PROPERTY JAYBRIDGE_SEPARATE_TESTS ${P_SOURCES})
+  else()
+    get_property(SEPARATE DIRECTORY PROPERTY JAYBRIDGE_SEPARATE_TESTS)
+    foreach(SOURCE IN LISTS SEPARATE)
+      list(REMOVE_ITEM SOURCES ${CMAKE_CURRENT_SOURCE_DIR}/${SOURCE})
+    endforeach()
+  endif()
+  set(TARGET Test${P_NAME})
+  set(SERIAL_PROPERTY)
+  if(P_SERIAL)
+    set(SERIAL_PROPERTY RUN_SERIAL TRUE)
+  endif()
   add_executable(${TARGET} ${SOURCES})
   target_include_directories(${TARGET} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}
                              ${PROJECT_SOURCE_DIR}/Tests)
@@ -72,5 +93,5 @@
   target_link_libraries(${TARGET} PRIVATE ${PACKAGE} ${P_DEPENDS} ${P_LIBRARIES}
                         gtest gtest_main Threads::Threads)
   gtest_discover_tests(${TARGET} NO_PRETTY_VALUES DISCOVERY_MODE PRE_TEST
-                       PROPERTIES TIMEOUT 300)
+                       PROPERTIES TIMEOUT 300 ${SERIAL_PROPERTY})
 endfunction()
--- a/Tests/Support/RawConnection.h
+++ b/Tests/Support/RawConnection.h
@@ -16,14 +16,14 @@
 /// Blocking TCP connection for tests that send or check exact bytes.
 class RawConnection {
 public:
-  explicit RawConnection(int Socket) : Socket_(Socket) { setReceiveTimeout(); }
+  explicit RawConnection(int Socket) : Socket_(Socket) { setTimeouts(); }
   explicit RawConnection(const Endpoint &Peer)
       : Socket_(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_port = htons(Peer.port().value());
     inet_pton(AF_INET, Peer.address().c_str(), &Address.sin_addr);
-    setReceiveTimeout();
+    setTimeouts();
     IsOpen_ = connect(Socket_, reinterpret_cast<sockaddr *>(&Address),
                       sizeof(Address)) == 0;
   }
@@ -79,10 +79,12 @@
   }
 
 private:
-  void setReceiveTimeout() {
-    // Makes a test fail instead of hang when expected bytes do not arrive.
+  void setTimeouts() {
+    // Makes a test fail instead of hang when expected bytes do not arrive, or
+    // when the peer does not read.
     timeval Timeout{20, 0};
     setsockopt(Socket_, SOL_SOCKET, SO_RCVTIMEO, &Timeout, sizeof(Timeout));
+    setsockopt(Socket_, SOL_SOCKET, SO_SNDTIMEO, &Timeout, sizeof(Timeout));
   }
 
   bool readMore() {
--- a/Tests/platform/DutyFleet.cpp
+++ b/Tests/platform/DutyFleet.cpp
@@ -60,7 +60,10 @@
 
 } // namespace
 
-DutyFleet::DutyFleet(std::size_t GatewayCount) : GatewayCount_(GatewayCount) {
+DutyFleet::DutyFleet(std::size_t GatewayCount,
+                     std::vector<std::string> ExtraGatewayFlags)
+    : GatewayCount_(GatewayCount),
+      ExtraGatewayFlags_(std::move(ExtraGatewayFlags)) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "jaybridge-XXXXXX").string();
   JAYBRIDGE_VERIFY(::mkdtemp(Template.data()) != nullptr);
@@ -116,18 +119,23 @@
 void DutyFleet::startGateway(std::size_t Index) {
   const std::string Name = gatewayName(Index);
   const std::string Address = gatewayAddress(Index);
-  Gateways_.emplace_back(
-      JAYBRIDGED_PROGRAM,
-      std::vector<std::string>{
-          "--duty=gateway", "--member-id=" + Name,
-          std::string("--failure-domain=") + Domains[Index % MemberCount],
-          "--caller-address=" + Address + ":" + portText(CallerPort_),
-          "--status-address=" + Address + ":" + portText(StatusPort_),
-          "--peer-address=" + Address + ":" + portText(PeerPort_),
-          "--seeds=" + seeds(), "--seed-peer-port=" + portText(PeerPort_),
-          "--grace-ms=6000", "--body-limit-bytes=16777216",
-          "--answer-limit-bytes=16777216", "--open-listeners=true"},
-      Folder_ + "/" + Name + ".log");
+  std::vector<std::string> Flags = {
+      "--duty=gateway",
+      "--member-id=" + Name,
+      std::string("--failure-domain=") + Domains[Index % MemberCount],
+      "--caller-address=" + Address + ":" + portText(CallerPort_),
+      "--status-address=" + Address + ":" + portText(StatusPort_),
+      "--peer-address=" + Address + ":" + portText(PeerPort_),
+      "--seeds=" + seeds(),
+      "--seed-peer-port=" + portText(PeerPort_),
+      "--grace-ms=6000",
+      "--body-limit-bytes=16777216",
+      "--answer-limit-bytes=16777216",
+      "--open-listeners=true"};
+  Flags.insert(Flags.end(), ExtraGatewayFlags_.begin(),
+               ExtraGatewayFlags_.end());
+  Gateways_.emplace_back(JAYBRIDGED_PROGRAM, Flags,
+                         Folder_ + "/" + Name + ".log");
 }
 
 bool DutyFleet::start() {
@@ -211,8 +219,7 @@
 LoadRequest DutyFleet::request(std::size_t Gateway, const std::string &Method,
                                const std::string &Path) {
   LoadRequest Created;
-  Created.Target_ =
-      Endpoint::create(gatewayAddress(Gateway), CallerPort_).takeValue();
+  Created.Target_ = callerEndpointOf(Gateway);
   Created.Method_ = Method;
   Created.Path_ = Path;
   Created.Headers_ = {"Host: h.example",
@@ -246,4 +253,15 @@
   return ByteCount(Kilobytes * 1024);
 }
 
+std::size_t DutyFleet::openDescriptorsOf(std::size_t Gateway) const {
+  const std::filesystem::directory_iterator Descriptors(
+      "/proc/" + std::to_string(Gateways_[Gateway].processId()) + "/fd");
+  return static_cast<std::size_t>(
+      std::distance(begin(Descriptors), end(Descriptors)));
+}
+
+Endpoint DutyFleet::callerEndpointOf(std::size_t Gateway) const {
+  return Endpoint::create(gatewayAddress(Gateway), CallerPort_).takeValue();
+}
+
 } // namespace jaybridge
--- a/Tests/platform/DutyFleet.h
+++ b/Tests/platform/DutyFleet.h
@@ -23,7 +23,9 @@
 /// not; both have a patience of 15 s.
 class DutyFleet {
 public:
-  explicit DutyFleet(std::size_t GatewayCount);
+  /// Extra flags are passed to each gateway and override the fleet's own.
+  explicit DutyFleet(std::size_t GatewayCount,
+                     std::vector<std::string> ExtraGatewayFlags = {});
   ~DutyFleet();
   DutyFleet(const DutyFleet &) = delete;
   DutyFleet &operator=(const DutyFleet &) = delete;
@@ -53,6 +55,9 @@
   std::size_t endedProcesses() const;
   /// Peak memory of a gateway.
   ByteCount peakMemoryOf(std::size_t Gateway) const;
+  /// Number of file descriptors that a gateway has open.
+  std::size_t openDescriptorsOf(std::size_t Gateway) const;
+  Endpoint callerEndpointOf(std::size_t Gateway) const;
 
 private:
   static constexpr std::size_t MemberCount = 3;
@@ -78,6 +83,7 @@
   Port CallerPort_;
   Port StatusPort_;
   std::size_t GatewayCount_;
+  std::vector<std::string> ExtraGatewayFlags_;
   std::atomic<unsigned> LastRequest_ = 0;
   std::vector<ChildProcess> Members_;
   std::vector<ChildProcess> Gateways_;
