LibRouting: Split the decisions on attempt ends from the dispatcher

What follows when an attempt ends, is overdue or is slow moves to AttemptEnds.cpp without a change of behaviour.

--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include <LibCore/Verify.h>
 #include <LibRouting/AttemptAnswer.h>
-#include <LibRouting/AttemptClassification.h>
 
 #include <algorithm>
 
@@ -10,10 +9,6 @@
 
 namespace {
 
-/// Time after the deadline within which the end of an attempt must be reported;
-/// then the gateway ends it as timed out. Otherwise a missing report would
-/// occupy a slot of the instance forever.
-constexpr Duration ReportTimeout = 5s;
 /// A request is queued only if its predicted wait is at most the remaining time
 /// divided by this; the rest is left for the service time. At three times the
 /// load and a patience of four service times, a half served 94% of what the
@@ -220,73 +215,6 @@
   }
 }
 
-void RequestDispatcher::endAttempt(const AttemptFinished &Finished,
-                                   TimePoint Now, Effects &Out) {
-  std::optional<LiveAttempt> Attempt = Attempts_.take(Finished.Attempt_);
-  if (!Attempt)
-    return;
-  const AttemptOutcome &AttemptEnd = Finished.Outcome_;
-  ServiceRouter &Router = service(Attempt->Service_);
-  AttemptOutcome Classified = AttemptEnd;
-  Classified.Result_ =
-      classifyAttempt(AttemptEnd, Now >= Attempt->ExpiresAt_ - ReportTimeout,
-                      Router.pool().latency().mean());
-  Router.finishAttempt(Attempt->Route_, Attempt->Instance_, Classified, Now);
-  if (AttemptEnd.ReportedLoad_)
-    Router.pool().updateReportedLoad(Attempt->Instance_,
-                                     *AttemptEnd.ReportedLoad_, Now);
-  Out.emplace_back(
-      ReportAttempt{Attempt->Service_, Attempt->Instance_, Classified.Result_,
-                    AttemptEnd.Response_.Status_, AttemptEnd.Elapsed_,
-                    Attempt->Fingerprint_, Attempt->WasOverdue_});
-  Out.emplace_back(RecordStep{Attempt->Request_,
-                              StepKind::AttemptEnded,
-                              Attempt->Service_,
-                              Version_,
-                              Attempt->Instance_,
-                              {},
-                              attemptResultName(AttemptEnd.Result_)});
-  if (RequestExecution *Execution = find(Attempt->Request_))
-    handleAttemptEnd(*Execution, Finished.Attempt_, AttemptEnd, Now, Out);
-  handlePoolChange(Attempt->Service_, Now, Out);
-}
-
-void RequestDispatcher::handleAttemptEnd(RequestExecution &Execution,
-                                         AttemptId Attempt,
-                                         const AttemptOutcome &AttemptEnd,
-                                         TimePoint Now, Effects &Out) {
-  Execution.endAttempt(Attempt, AttemptEnd.Result_);
-  bool HasLiveAttempts = !Execution.liveAttempts().empty();
-  if (Execution.phase() == RequestExecution::Phase::Answered) {
-    if (HasLiveAttempts)
-      return;
-    releaseOrFinishKey(Execution, answerAfter(Execution, AttemptEnd), Out);
-    Requests_.erase(Execution.request().Id_);
-    return;
-  }
-  if (isFinal(Execution, AttemptEnd))
-    return close(Execution, answerAfter(Execution, AttemptEnd), Now, Out);
-  if (HasLiveAttempts)
-    return;
-  const ServiceName &Name = Execution.request().Service_;
-  bool IsInTime = Now < Execution.deadline();
-  // The retry budget protects the service from extra load; an attempt that
-  // could not connect caused none.
-  bool IsExemptFromBudget = AttemptEnd.Result_ == AttemptResult::ConnectFailed;
-  bool MayHaveCrashed =
-      isConnectionCut(AttemptEnd.Result_) &&
-      SuspectedFingerprints_.contains(Execution.fingerprint());
-  if (IsInTime && !MayHaveCrashed && Execution.canDispatch() &&
-      (IsExemptFromBudget || service(Name).budget().withdrawRetry())) {
-    if (!IsExemptFromBudget)
-      Out.emplace_back(ReportRetry{Name});
-    recordStep(Execution, StepKind::Retried,
-               attemptResultName(AttemptEnd.Result_), Out);
-    return dispatchOrQueue(Execution, Now, Out);
-  }
-  close(Execution, answerAfter(Execution, AttemptEnd), Now, Out);
-}
-
 void RequestDispatcher::close(RequestExecution &Execution, Answer Final,
                               TimePoint /*Now*/, Effects &Out) {
   const RequestId Id = Execution.request().Id_;
@@ -344,57 +272,6 @@
   schedulePoolDeadline(Name, service(Name));
 }
 
-void RequestDispatcher::handleOverdue(const LiveAttempt &Overdue, TimePoint Now,
-                                      Effects &Out) {
-  Out.emplace_back(ReportOverdue{Overdue.Service_, Overdue.Instance_});
-  Out.emplace_back(RecordStep{Overdue.Request_,
-                              StepKind::Overdue,
-                              Overdue.Service_,
-                              Version_,
-                              Overdue.Instance_,
-                              {},
-                              {}});
-  RequestExecution *Execution = find(Overdue.Request_);
-  if (Execution && Execution->isHedgingAllowed())
-    startHedge(*Execution, HedgeReason::Overdue, Now, Out);
-}
-
-void RequestDispatcher::startHedge(RequestExecution &Execution,
-                                   HedgeReason Reason, TimePoint Now,
-                                   Effects &Out) {
-  if (Execution.liveAttempts().size() != 1 || !Execution.canDispatch() ||
-      !canEndInTime(Execution, Now))
-    return;
-  const ServiceName &Name = Execution.request().Service_;
-  if (Queue_.length(Name) > 0)
-    return;
-  ServiceRouter &Router = service(Name);
-  SelectionRequest Selection{Execution.triedInstances(),
-                             Execution.isRepeatable()};
-  std::optional<InstanceId> Chosen =
-      Router.pool().select(Selector_, Selection, Now);
-  if (!Chosen)
-    return;
-  // A request whose attempt hangs needs its second attempt as much as one
-  // whose attempt has failed.
-  const bool IsPermitted = Reason == HedgeReason::Overdue
-                               ? Router.budget().withdrawRetry()
-                               : Router.budget().withdrawHedge();
-  if (!IsPermitted)
-    return;
-  if (Reason == HedgeReason::Overdue)
-    Out.emplace_back(ReportRetry{Name});
-  dispatch(Execution, *Chosen, DispatchKind::Hedge, Now, Out);
-}
-
-void RequestDispatcher::expireFirstAttempt(TimePoint Now, Effects &Out) {
-  AttemptOutcome Unreported;
-  Unreported.Result_ = AttemptResult::TimedOut;
-  // A lower bound: the attempt expires this long after its deadline.
-  Unreported.Elapsed_ = ReportTimeout;
-  endAttempt(AttemptFinished{Attempts_.firstToExpire(), Unreported}, Now, Out);
-}
-
 void RequestDispatcher::advance(TimePoint Now, Effects &Out) {
   if (Now >= FinishBy_)
     refuseUnfinished(Now, Out);
--- a/Libraries/LibRouting/RequestDispatcher.h
+++ b/Libraries/LibRouting/RequestDispatcher.h
@@ -71,6 +71,11 @@
   enum class DispatchKind { Normal, Hedge };
   using Timers = std::set<std::pair<TimePoint, RequestId>>;
 
+  /// Time after the deadline within which the end of an attempt must be
+  /// reported; then the gateway ends it as timed out. Otherwise a missing
+  /// report would occupy a slot of the instance forever.
+  static constexpr Duration ReportTimeout = 5s;
+
   /// False when an attempt that starts now may last longer than FinishBy_.
   bool canEndInTime(const RequestExecution &Execution, TimePoint Now) const;
   /// Refuses the requests that are in progress at FinishBy_.
