LibUpstream, LibRouting: Place requests where instances run them

While instances of a service reject part of their requests, a gateway spent attempts on rejections, and backoff (up to eight mean latencies), a lowered limit (0.25 slots/s of recovery) and the probation cost (3 s) could keep it from an instance that worked again.

One that rejects twice in a row takes one request at a time until one runs. While a tenth or more is rejected, three requests of four go to instances that ran their last one. Requests in excess of twice what runs are rejected without an attempt, and Retry-After is the expected time until capacity is there, spread over once to twice that time. Backoff and probation end after 1 s, lowered limits recover in 2 s, and the limit of a warming instance no longer raises its cost.

TestLibRouting 135, TestLibUpstream 23, TestLibSettings 27 tests passed; the daemon was built but not run.

--- a/Libraries/LibRouting/AttemptEnds.cpp
+++ b/Libraries/LibRouting/AttemptEnds.cpp
@@ -19,6 +19,9 @@
       classifyAttempt(AttemptEnd, Now >= Attempt->ExpiresAt_ - ReportTimeout,
                       Router.pool().latency().mean());
   Router.finishAttempt(Attempt->Route_, Attempt->Instance_, Classified, Now);
+  if (Mode_ == Placement::Cost)
+    if (std::optional<bool> IsShort = Router.updateCapacityState(Now))
+      Out.emplace_back(CapacityChanged{Attempt->Service_, *IsShort});
   if (AttemptEnd.ReportedLoad_)
     Router.pool().updateReportedLoad(Attempt->Instance_,
                                      *AttemptEnd.ReportedLoad_, Now);
@@ -63,6 +66,10 @@
   bool MayHaveCrashed =
       isConnectionCut(AttemptEnd.Result_) &&
       SuspectedFingerprints_.contains(Execution.fingerprint());
+  bool IsRejected = Mode_ == Placement::Cost &&
+                    AttemptEnd.Result_ == AttemptResult::RefusedNotRun;
+  if (IsRejected && isRetryFutile(Execution, service(Name), Now))
+    return refuse(Execution, RefusalReason::UpstreamUnavailable, Now, Out);
   if (IsInTime && !MayHaveCrashed && Execution.canDispatch() &&
       (IsExemptFromBudget || service(Name).budget().withdrawRetry())) {
     if (!IsExemptFromBudget)
@@ -71,6 +78,8 @@
                attemptResultName(AttemptEnd.Result_), Out);
     return dispatchOrQueue(Execution, Now, Out);
   }
+  if (IsRejected)
+    return refuse(Execution, RefusalReason::UpstreamUnavailable, Now, Out);
   close(Execution, answerAfter(Execution, AttemptEnd), Now, Out);
 }
 
@@ -101,8 +110,7 @@
   ServiceRouter &Router = service(Name);
   SelectionRequest Selection{Execution.triedInstances(),
                              Execution.isRepeatable()};
-  std::optional<InstanceId> Chosen =
-      Router.pool().select(Selector_, Selection, Now);
+  std::optional<InstanceId> Chosen = selectByCost(Selection, Router, Now);
   if (!Chosen)
     return;
   // A request whose attempt hangs needs its second attempt as much as one
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -52,7 +52,7 @@
   Gateway(GatewaySettings Settings, RandomSeed Seed)
       : Settings_(std::move(Settings)),
         Dispatcher_(Settings_.Domain_, Settings_.QueueCapacity_,
-                    Settings_.RetryBounds_, Seed),
+                    Settings_.RetryBounds_, Seed, Settings_.Placement_),
         Random_(Seed) {}
 
   void on(const RequestReceived &Incoming, TimePoint Now, Effects &Out);
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -196,6 +196,13 @@
   ServiceName Service_;
 };
 
+/// The instances of a service began to reject most requests, or stopped.
+/// Emitted with placement by cost.
+struct CapacityChanged {
+  ServiceName Service_;
+  bool IsShort_ = false;
+};
+
 /// Forwards the request to another gateway.
 struct ForwardRequest {
   MemberId Home_;
@@ -237,6 +244,6 @@
 using GatewayEffect =
     std::variant<SendAttempt, CancelAttempt, AnswerCaller, ClaimKey, ReleaseKey,
                  FinishKey, ReportAttempt, ForwardRequest, CancelForward,
-                 RecordStep, ReportRetry, ReportOverdue>;
+                 RecordStep, ReportRetry, ReportOverdue, CapacityChanged>;
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/GatewaySettings.h
+++ b/Libraries/LibRouting/GatewaySettings.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibCore/Units.h>
 #include <LibRouting/RetryBudget.h>
+#include <LibUpstream/Placement.h>
 
 namespace jaybridge {
 
@@ -16,6 +17,7 @@
   EventCount QueueCapacity_ = EventCount(2000);
   /// Applies to each service separately.
   RetryBudgetBounds RetryBounds_{};
+  Placement Placement_ = Placement::Load;
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -31,7 +31,8 @@
 } // namespace
 
 ServiceRouter &RequestDispatcher::service(const ServiceName &Name) {
-  return Services_.try_emplace(Name, OwnDomain_, RetryBounds_).first->second;
+  return Services_.try_emplace(Name, OwnDomain_, RetryBounds_, Mode_)
+      .first->second;
 }
 
 const ServiceRouter *
@@ -91,6 +92,8 @@
   const ServiceName &Name = Execution.request().Service_;
   if (Queue_.length(Name) > 0)
     return enqueue(Execution, Now, Out);
+  if (Mode_ == Placement::Cost)
+    return placeByCost(Execution, Now, Out);
   std::optional<InstanceId> Chosen =
       selectInstance(Execution, service(Name), Now);
   if (!Chosen)
@@ -124,11 +127,10 @@
                                   ServiceRouter &Router, TimePoint Now) {
   SelectionRequest Selection{Execution.triedInstances(),
                              Execution.isRepeatable()};
-  std::optional<InstanceId> Chosen =
-      Router.pool().select(Selector_, Selection, Now);
+  std::optional<InstanceId> Chosen = selectByCost(Selection, Router, Now);
   if (!Chosen && !Selection.Tried_.empty())
-    Chosen = Router.pool().select(
-        Selector_, SelectionRequest{{}, Execution.isRepeatable()}, Now);
+    Chosen = selectByCost(SelectionRequest{{}, Execution.isRepeatable()},
+                          Router, Now);
   return Chosen;
 }
 
@@ -247,11 +249,8 @@
                                RefusalReason Reason, TimePoint Now,
                                Effects &Out) {
   Refusal Refused{Execution.knownOutcome(), Reason, std::nullopt, {}};
-  if (isTransient(Reason) && Refused.Outcome_ == Outcome::NotRun) {
-    const ServiceName &Name = Execution.request().Service_;
-    Refused.RetryAfter_ = std::max(
-        MinRetryAfter, service(Name).predictedWait(Queue_.length(Name)));
-  }
+  if (isTransient(Reason) && Refused.Outcome_ == Outcome::NotRun)
+    Refused.RetryAfter_ = retryDelay(Execution.request().Service_, Now);
   close(Execution, Refused, Now, Out);
 }
 
--- a/Libraries/LibRouting/RequestDispatcher.h
+++ b/Libraries/LibRouting/RequestDispatcher.h
@@ -18,9 +18,11 @@
   using Effects = std::vector<GatewayEffect>;
 
   RequestDispatcher(FailureDomain OwnDomain, EventCount QueueCapacity,
-                    RetryBudgetBounds RetryBounds, RandomSeed Seed)
+                    RetryBudgetBounds RetryBounds, RandomSeed Seed,
+                    Placement Mode = Placement::Load)
       : OwnDomain_(std::move(OwnDomain)), RetryBounds_(RetryBounds),
-        Queue_(QueueCapacity), Selector_(Seed) {}
+        Mode_(Mode), Queue_(QueueCapacity), Selector_(Seed),
+        PlacementRandom_(RandomSeed(~Seed.value())) {}
 
   /// State of the service; created if there is none.
   ServiceRouter &service(const ServiceName &Name);
@@ -80,6 +82,23 @@
   bool canEndInTime(const RequestExecution &Execution, TimePoint Now) const;
   /// Refuses the requests that are in progress at FinishBy_.
   void refuseUnfinished(TimePoint Now, Effects &Out);
+  /// Selects an instance with the cost policy of the placement.
+  std::optional<InstanceId> selectByCost(const SelectionRequest &Selection,
+                                         const ServiceRouter &Router,
+                                         TimePoint Now);
+  /// With placement by cost, while instances reject many requests: an instance
+  /// that ran its last one.
+  std::optional<InstanceId> selectWhereItRuns(const RequestExecution &Execution,
+                                              const ServiceRouter &Router,
+                                              TimePoint Now);
+  /// Dispatches, queues or rejects a request with placement by cost.
+  void placeByCost(RequestExecution &Execution, TimePoint Now, Effects &Out);
+  /// True when another attempt of a rejected request would probably be rejected
+  /// too.
+  bool isRetryFutile(const RequestExecution &Execution,
+                     const ServiceRouter &Router, TimePoint Now);
+  /// Time after which a caller may send a request again that did not run.
+  Duration retryDelay(const ServiceName &Name, TimePoint Now);
   /// Selects an instance that had no attempt of the request, or else any.
   std::optional<InstanceId> selectInstance(const RequestExecution &Execution,
                                            ServiceRouter &Router,
@@ -113,8 +132,12 @@
   RetryBudgetBounds RetryBounds_;
   ConfigurationVersion Version_;
   TimePoint FinishBy_ = TimePoint::max();
+  Placement Mode_;
   AdmissionQueue Queue_;
   PowerOfTwoChoices Selector_;
+  /// Used with placement by cost only, so that placement by load draws the same
+  /// numbers as before.
+  Random PlacementRandom_;
   std::set<Fingerprint> QuarantinedFingerprints_;
   std::set<Fingerprint> SuspectedFingerprints_;
   std::map<ServiceName, ServiceRouter> Services_;
--- a/Libraries/LibRouting/ServiceRouter.cpp
+++ b/Libraries/LibRouting/ServiceRouter.cpp
@@ -12,6 +12,14 @@
 /// from the list of homes soon after.
 constexpr Duration LostHomeTimeout = 1s;
 
+/// Single rejections are due to requests that arrive at the same time; they end
+/// by trying another instance.
+constexpr RequestShare ScarceRejectionShare(0.1);
+constexpr RequestShare MostRejectionShare(0.5);
+constexpr RequestShare SufficientRejectionShare(0.25);
+/// Longer waits are not predictable from the rejections of a few seconds.
+constexpr Duration MaxCapacityDelay = 5s;
+
 } // namespace
 
 void ServiceRouter::setPolicy(std::optional<ServicePolicy> Policy) {
@@ -47,6 +55,32 @@
          Parallel;
 }
 
+Duration ServiceRouter::expectedCapacityDelay(TimePoint Now) const {
+  // For each request that runs, this many others take a service time more.
+  std::chrono::duration<double, Duration::period> Delay =
+      Pool_.latency().mean() * Pool_.rejections().rejectionsPerRun(Now);
+  return std::min(MaxCapacityDelay,
+                  std::chrono::duration_cast<Duration>(Delay));
+}
+
+bool ServiceRouter::isCapacityScarce(TimePoint Now) const {
+  return Pool_.rejections().share(Now) >= ScarceRejectionShare;
+}
+
+bool ServiceRouter::isRejectingMost(TimePoint Now) const {
+  return Pool_.rejections().share(Now) > MostRejectionShare;
+}
+
+std::optional<bool> ServiceRouter::updateCapacityState(TimePoint Now) {
+  bool IsShort = IsCapacityShort_
+                     ? Pool_.rejections().share(Now) > SufficientRejectionShare
+                     : isRejectingMost(Now);
+  if (IsShort == IsCapacityShort_)
+    return std::nullopt;
+  IsCapacityShort_ = IsShort;
+  return IsShort;
+}
+
 bool ServiceRouter::canFinish(TimePoint Deadline, TimePoint Now) const {
   const LatencyEstimate &ServiceTime = Pool_.latency();
   if (!ServiceTime.hasEnoughSamples() ||
--- a/Libraries/LibRouting/ServiceRouter.h
+++ b/Libraries/LibRouting/ServiceRouter.h
@@ -19,8 +19,9 @@
 /// them.
 class ServiceRouter {
 public:
-  explicit ServiceRouter(FailureDomain OwnDomain, RetryBudgetBounds Bounds = {})
-      : Pool_(std::move(OwnDomain)), Budget_(Percentage(0), Bounds) {}
+  explicit ServiceRouter(FailureDomain OwnDomain, RetryBudgetBounds Bounds = {},
+                         Placement Mode = Placement::Load)
+      : Pool_(std::move(OwnDomain), Mode), Budget_(Percentage(0), Bounds) {}
 
   /// Without a policy, requests are refused because the service is unknown.
   void setPolicy(std::optional<ServicePolicy> Policy);
@@ -43,6 +44,20 @@
   /// Queueing delay of a request behind this many others: by Little's law on
   /// the slots in use and the mean latency.
   Duration predictedWait(std::size_t RequestsAhead) const;
+  /// Expected time until an instance runs a request that is rejected now.
+  Duration expectedCapacityDelay(TimePoint Now) const;
+  /// True while instances reject enough requests that the next one is placed
+  /// first where the last one ran.
+  bool isCapacityScarce(TimePoint Now) const;
+  /// True when most requests are rejected, so that a second attempt of one
+  /// would probably be too.
+  bool isRejectingMost(TimePoint Now) const;
+
+  /// Whether capacity has become short, or has stopped to be; none without a
+  /// change. It stops to be short at half of the share of rejections at which
+  /// it becomes short.
+  std::optional<bool> updateCapacityState(TimePoint Now);
+
   /// False when a request dispatched now would probably miss its deadline. Only
   /// a recent estimate counts: otherwise a slow period could stop all
   /// dispatches and with them all new samples.
@@ -65,6 +80,7 @@
   HedgePolicy Hedging_;
   OverduePolicy Overdue_;
   LongestRecent Longest_;
+  bool IsCapacityShort_ = false;
   std::vector<MemberId> Homes_;
   std::map<MemberId, TimePoint> HomeLostUntil_;
 };
--- a/Libraries/LibSettings/Flags.cpp
+++ b/Libraries/LibSettings/Flags.cpp
@@ -43,6 +43,8 @@
     retry_allowance, "",
     "retries of a service that the fleet may make in ten seconds beyond "
     "a share of its requests");
+DEFINE_string(placement, "",
+              "load or cost: how a gateway places requests on instances");
 DEFINE_string(log_level, "", "debug, info, warning, error or off");
 DEFINE_bool(check_settings, false, "check the settings and exit");
 
@@ -74,6 +76,7 @@
                                      "answer-limit-bytes",
                                      "queue-limit",
                                      "retry-allowance",
+                                     "placement",
                                      "log-level",
                                      "check-settings"};
 
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -126,6 +126,15 @@
     return DaemonDuty::All;
   }
 
+  Placement readPlacement(const std::string &Flag) {
+    const std::string Value = readText(Flag, "load");
+    if (Value == "cost")
+      return Placement::Cost;
+    if (Value != "load")
+      recordError(invalidValueError(Flag, Value, "load or cost"));
+    return Placement::Load;
+  }
+
   bool readBoolean(const std::string &Flag) {
     const std::string Value = readText(Flag, "false");
     if (Value != "true" && Value != "false")
@@ -231,6 +240,7 @@
   Parsed.RetryAllowance_ = EventCount(Reader.readNumber(RetryAllowanceRange));
   if (const std::string File = Reader.readText("address-file"); !File.empty())
     Parsed.AddressFile_ = File;
+  Parsed.Placement_ = Reader.readPlacement("placement");
   Parsed.LogLevel_ = Reader.readLogLevel("log-level");
   Parsed.IsCheckOnly_ = Reader.readBoolean("check-settings");
   checkDutySettings(Reader, Parsed);
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -5,6 +5,7 @@
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
 #include <LibLog/Log.h>
+#include <LibUpstream/Placement.h>
 
 #include <functional>
 #include <map>
@@ -66,6 +67,7 @@
   /// Retries of a service that the whole fleet may make in ten seconds beyond a
   /// share of its requests.
   EventCount RetryAllowance_;
+  Placement Placement_ = Placement::Load;
   LogLevel LogLevel_ = LogLevel::Info;
   /// File to which the listening addresses are written, so that ports chosen by
   /// the kernel are known.
--- a/Libraries/LibUpstream/ConcurrencyLimit.cpp
+++ b/Libraries/LibUpstream/ConcurrencyLimit.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-ConcurrencyLimit::ConcurrencyLimit(SlotCount AnnouncedSlots)
+ConcurrencyLimit::ConcurrencyLimit(SlotCount AnnouncedSlots,
+                                   std::optional<Duration> RecoveryTime)
     : AnnouncedSlots_(std::max(MinLimit, AnnouncedSlots)),
-      LimitAtChange_(AnnouncedSlots_.value()) {}
+      RecoveryTime_(RecoveryTime), LimitAtChange_(AnnouncedSlots_.value()) {}
 
 SlotCount ConcurrencyLimit::current(TimePoint Now) const {
   return SlotCount(static_cast<std::uint32_t>(limitAt(Now)));
@@ -48,9 +49,16 @@
   ChangedAt_ = Now;
 }
 
+double ConcurrencyLimit::recoveryPerSecond() const {
+  if (!RecoveryTime_)
+    return RecoveryPerSecond;
+  return AnnouncedSlots_.value() /
+         std::chrono::duration<double>(*RecoveryTime_).count();
+}
+
 double ConcurrencyLimit::limitAt(TimePoint Now) const {
   double Recovery = std::chrono::duration<double>(Now - ChangedAt_).count() *
-                    RecoveryPerSecond;
+                    recoveryPerSecond();
   return std::min<double>(AnnouncedSlots_.value(), LimitAtChange_ + Recovery);
 }
 
--- a/Libraries/LibUpstream/ConcurrencyLimit.h
+++ b/Libraries/LibUpstream/ConcurrencyLimit.h
@@ -3,6 +3,8 @@
 #include <LibCore/Time.h>
 #include <LibCore/Units.h>
 
+#include <optional>
+
 namespace jaybridge {
 
 /// Limit on the concurrent requests that a gateway sends to one instance. It
@@ -11,7 +13,9 @@
 /// each of them must reduce its limit when the instance sheds load.
 class ConcurrencyLimit {
 public:
-  explicit ConcurrencyLimit(SlotCount AnnouncedSlots);
+  /// Without a recovery time, a lowered limit regains a slot in four seconds.
+  explicit ConcurrencyLimit(SlotCount AnnouncedSlots,
+                            std::optional<Duration> RecoveryTime = {});
 
   SlotCount current(TimePoint Now) const;
   void setAnnouncedSlots(SlotCount AnnouncedSlots);
@@ -22,8 +26,11 @@
 
 private:
   double limitAt(TimePoint Now) const;
+  double recoveryPerSecond() const;
 
   SlotCount AnnouncedSlots_;
+  /// Time in which the lowest limit rises to the announced slots.
+  std::optional<Duration> RecoveryTime_;
   /// Limit at the time ChangedAt_; slots recovered since then come on top.
   double LimitAtChange_;
   TimePoint ChangedAt_{};
--- a/Libraries/LibUpstream/SelectionPolicy.h
+++ b/Libraries/LibUpstream/SelectionPolicy.h
@@ -14,12 +14,22 @@
 /// lowest cost is selected.
 using SelectionCost = Quantity<struct SelectionCostTag, double>;
 
+/// Which instances are candidates.
+enum class CandidateScope {
+  /// Every instance that can take a request now.
+  Available,
+  /// Those of them that ran their last request recently. Maintained with
+  /// placement by cost only.
+  RanRecently,
+};
+
 /// Constraints on the instance selected for one attempt.
 struct SelectionRequest {
   /// Instances to which this request has already been sent.
   std::vector<InstanceId> Tried_;
   /// Whether the request may run more than once.
   bool IsRepeatable_ = true;
+  CandidateScope Scope_ = CandidateScope::Available;
 };
 
 /// Instances that can take a request now, addressed by position. The number of
--- a/Libraries/LibUpstream/UpstreamInstance.cpp
+++ b/Libraries/LibUpstream/UpstreamInstance.cpp
@@ -37,6 +37,12 @@
 /// no requests for half of its mean latency, doubled with each further shed.
 constexpr Duration MinShedBackoff = 2ms;
 constexpr unsigned MaxShedBackoffDoublings = 4;
+/// Time in which a lowered limit rises to the announced slots with placement by
+/// cost.
+constexpr Duration LimitRecoveryTime = 2s;
+/// With placement by cost, an instance that rejects most requests stays on
+/// trial for this long after its last rejection.
+constexpr Duration TrialDuration = 2s;
 
 double decayFactor(Duration Age) {
   return std::exp2(-static_cast<double>(Age.count()) /
@@ -46,8 +52,11 @@
 } // namespace
 
 UpstreamInstance::UpstreamInstance(InstanceRecord Record, TimePoint Now,
-                                   bool IsCold)
-    : Record_(std::move(Record)), Limit_(Record_.Slots_),
+                                   bool IsCold, Placement Mode)
+    : Record_(std::move(Record)), Mode_(Mode),
+      Limit_(Record_.Slots_, Mode == Placement::Cost
+                                 ? std::optional(LimitRecoveryTime)
+                                 : std::nullopt),
       WarmUpEndsAt_(IsCold ? Now + WarmUpDuration : Now) {}
 
 bool UpstreamInstance::update(const InstanceRecord &NewRecord, TimePoint Now) {
@@ -77,6 +86,7 @@
   if (IsEjected_ && !IsEjected) {
     WarmUpEndsAt_ = Now + WarmUpDuration;
     IsOnProbation_ = true;
+    ProbationEndsAt_ = Now + MaxExclusion;
   }
   IsEjected_ = IsEjected;
 }
@@ -116,6 +126,7 @@
   FailureRatio_ += (1 - FailureRatio_) * FailureSmoothing;
   FailureRatioAt_ = Now;
   ++ConsecutiveFailures_;
+  LastRunAt_.reset();
 }
 
 void UpstreamInstance::recordSuccess(const AttemptOutcome &Attempt,
@@ -125,6 +136,10 @@
   ConsecutiveFailures_ = 0;
   IsOnProbation_ = false;
   ConsecutiveSheds_ = 0;
+  if (Mode_ == Placement::Cost) {
+    Rejections_.recordRun(Now);
+    LastRunAt_ = Now;
+  }
   IsRefusingConnections_ = false;
   Latency_.record(Attempt.Elapsed_, Now);
   if (WasFull)
@@ -132,6 +147,8 @@
 }
 
 void UpstreamInstance::recordShed(TimePoint Now) {
+  if (Mode_ == Placement::Cost)
+    return recordRejection(Now);
   Limit_.decrease(Now);
   Duration Backoff =
       std::max(MinShedBackoff, Latency_.mean() / 2) *
@@ -140,26 +157,48 @@
   extendBackoff(Now + Backoff);
 }
 
+void UpstreamInstance::recordRejection(TimePoint Now) {
+  Rejections_.recordRejection(Now);
+  LastRunAt_.reset();
+  Duration Backoff =
+      std::max(MinShedBackoff, Latency_.mean() / 2) *
+      (1 << std::min(ConsecutiveSheds_, MaxShedBackoffDoublings));
+  ++ConsecutiveSheds_;
+  TrialEndsAt_ = Now + TrialDuration;
+  extendBackoff(Now + std::min(MaxExclusion, Backoff));
+}
+
 std::optional<Duration> UpstreamInstance::backoffDuration() const {
   unsigned FailureCount =
       ConsecutiveFailures_ + (IsRefusingConnections_ ? 1 : 0);
   if (FailureCount < FailuresBeforeBackoff)
     return std::nullopt;
-  return MinBackoff * (1 << std::min(FailureCount - FailuresBeforeBackoff,
-                                     MaxBackoffDoublings));
+  Duration Backoff =
+      MinBackoff * (1 << std::min(FailureCount - FailuresBeforeBackoff,
+                                  MaxBackoffDoublings));
+  return Mode_ == Placement::Cost ? std::min(MaxExclusion, Backoff) : Backoff;
 }
 
 SlotCount UpstreamInstance::limit(TimePoint Now) const {
   SlotCount AdaptiveLimit = Limit_.current(Now);
+  if (Mode_ == Placement::Cost) {
+    if (isOnTrial(Now))
+      return SlotCount(1);
+    AdaptiveLimit = SlotCount(static_cast<std::uint32_t>(std::max(
+        1.0, AdaptiveLimit.value() * (1 - Rejections_.share(Now).value()))));
+  }
   if (!isWarmingUp(Now))
     return AdaptiveLimit;
+  return std::max(SlotCount(1), std::min(AdaptiveLimit, warmUpLimit(Now)));
+}
+
+SlotCount UpstreamInstance::warmUpLimit(TimePoint Now) const {
   auto RemainingWarmUp =
       static_cast<std::uint64_t>((WarmUpEndsAt_ - Now).count());
   auto TotalWarmUp = static_cast<std::uint64_t>(WarmUpDuration.count());
   std::uint64_t Slots = Record_.Slots_.value();
-  SlotCount WarmUpLimit(static_cast<std::uint32_t>(
+  return SlotCount(static_cast<std::uint32_t>(
       Slots - std::min(Slots, Slots * RemainingWarmUp / TotalWarmUp)));
-  return std::max(SlotCount(1), std::min(AdaptiveLimit, WarmUpLimit));
 }
 
 bool UpstreamInstance::isAvailable(TimePoint Now) const {
@@ -191,7 +230,10 @@
   double FailureRatio = FailureRatio_ * decayFactor(Now - FailureRatioAt_);
   if (FailureRatio < MinCountedFailureRatio)
     FailureRatio = 0;
-  return SelectionCost(Load / limit(Now).value() * Slowness *
+  // The limits protect an instance from many requests at once. In the cost, a
+  // lowered one would keep the first request from an idle instance.
+  SlotCount Slots = Mode_ == Placement::Cost ? Record_.Slots_ : limit(Now);
+  return SelectionCost(Load / std::max(SlotCount(1), Slots).value() * Slowness *
                        (1 + FailurePenalty * FailureRatio));
 }
 
--- a/Libraries/LibUpstream/UpstreamInstance.h
+++ b/Libraries/LibUpstream/UpstreamInstance.h
@@ -4,6 +4,8 @@
 #include <LibUpstream/ConcurrencyLimit.h>
 #include <LibUpstream/InstanceRecord.h>
 #include <LibUpstream/LatencyEstimate.h>
+#include <LibUpstream/Placement.h>
+#include <LibUpstream/RejectionShare.h>
 #include <LibUpstream/SelectionPolicy.h>
 
 #include <algorithm>
@@ -25,7 +27,19 @@
   /// quickly.
   static constexpr EventCount LatencySampleWindow{5};
 
-  UpstreamInstance(InstanceRecord Record, TimePoint Now, bool IsCold);
+  /// With placement by cost, nothing that a gateway learned about an instance
+  /// keeps it from the instance for longer than this: a gateway sends few
+  /// requests to each instance and so learns late that it works again.
+  static constexpr Duration MaxExclusion = 1s;
+  /// Time from a rejection until its weight has halved.
+  static constexpr Duration RejectionHalfLife = 1s;
+  /// Rejections in a row from which on an instance counts as rejecting most.
+  static constexpr unsigned MinRejectionsInRow = 2;
+  /// Time after a run in which the instance is expected to run requests.
+  static constexpr Duration RunEvidenceLifetime = 5s;
+
+  UpstreamInstance(InstanceRecord Record, TimePoint Now, bool IsCold,
+                   Placement Mode = Placement::Load);
 
   const InstanceRecord &record() const { return Record_; }
   /// Replaces the record and starts the warm-up when the instance enters the
@@ -55,8 +69,24 @@
   bool isWarmingUp(TimePoint Now) const { return Now < WarmUpEndsAt_; }
   /// Returned from an ejection and has answered nothing since.
   bool isOnProbation(TimePoint Now) const {
+    if (Mode_ == Placement::Cost && Now >= ProbationEndsAt_)
+      return false;
     return IsOnProbation_ && isWarmingUp(Now);
   }
+  /// Decayed share of requests that the instance rejected as not run; 0 with
+  /// placement by load.
+  RequestShare rejectionShare(TimePoint Now) const {
+    return Rejections_.share(Now);
+  }
+  /// Rejects most requests: it takes one at a time until it runs one.
+  bool isOnTrial(TimePoint Now) const {
+    return Mode_ == Placement::Cost &&
+           ConsecutiveSheds_ >= MinRejectionsInRow && Now < TrialEndsAt_;
+  }
+  /// Ran its last request recently.
+  bool hasRunRecently(TimePoint Now) const {
+    return LastRunAt_ && Now - *LastRunAt_ < RunEvidenceLifetime;
+  }
   TimePoint backoffEnd() const { return BackoffEndsAt_; }
   bool isAvailable(TimePoint Now) const;
   /// Selection cost, computed from load, failures and the latency relative to
@@ -68,8 +98,12 @@
   void recordSuccess(const AttemptOutcome &Attempt, bool WasFull,
                      TimePoint Now);
   void recordShed(TimePoint Now);
+  /// Takes a rejection with placement by cost.
+  void recordRejection(TimePoint Now);
+  SlotCount warmUpLimit(TimePoint Now) const;
 
   InstanceRecord Record_;
+  Placement Mode_;
   ConcurrencyLimit Limit_;
   LatencyEstimate Latency_{LatencySampleWindow};
   SlotCount InUse_;
@@ -84,6 +118,11 @@
   unsigned ConsecutiveFailures_ = 0;
   unsigned ConsecutiveSheds_ = 0;
   bool IsRefusingConnections_ = false;
+  RejectionShare Rejections_{RejectionHalfLife};
+  TimePoint TrialEndsAt_{};
+  TimePoint ProbationEndsAt_{};
+  /// None after a rejection or a failure.
+  std::optional<TimePoint> LastRunAt_;
   /// Slots used by other gateways at LoadReportedAt_, as reported by the
   /// instance.
   SlotCount SlotsUsedByOthers_;
--- a/Libraries/LibUpstream/UpstreamPool.cpp
+++ b/Libraries/LibUpstream/UpstreamPool.cpp
@@ -32,7 +32,7 @@
     return;
   }
   bool IsCold = Now - *FirstInstanceAt_ > StartupGracePeriod;
-  UpstreamInstance NewInstance(Record, Now, IsCold);
+  UpstreamInstance NewInstance(Record, Now, IsCold, Mode_);
   std::size_t Index = Instances_.size();
   if (FreeIndices_.empty()) {
     Instances_.push_back(std::move(NewInstance));
@@ -92,10 +92,34 @@
     Latency_.record(Attempt.Elapsed_, Now);
   else if (Attempt.Result_ == AttemptResult::TimedOut)
     Latency_.recordLowerBound(Attempt.Elapsed_, Now);
+  if (Mode_ == Placement::Cost) {
+    if (Attempt.Result_ == AttemptResult::RefusedNotRun)
+      Rejections_.recordRejection(Now);
+    else if (Attempt.Result_ == AttemptResult::Answered)
+      Rejections_.recordRun(Now);
+    updateRanRecently(Index, Now);
+  }
   backOffIfPermitted(Index, Now);
   updateMembership(Index, Now);
 }
 
+void UpstreamPool::updateRanRecently(std::size_t Index, TimePoint Now) {
+  auto Update = [&](std::size_t Member) {
+    const UpstreamInstance &Instance = Instances_[Member];
+    if (Instance.isServing() && Instance.hasRunRecently(Now)) {
+      RanRecently_.insert(Member);
+      if (Instance.record().Domain_ == LocalDomain_)
+        RanRecentlyLocal_.insert(Member);
+      return;
+    }
+    RanRecently_.erase(Member);
+    RanRecentlyLocal_.erase(Member);
+  };
+  Update(Index);
+  if (!RanRecently_.isEmpty())
+    Update(RanRecently_.at(NextCleanup_++ % RanRecently_.size()));
+}
+
 void UpstreamPool::backOffIfPermitted(std::size_t Index, TimePoint Now) {
   std::optional<Duration> Backoff = Instances_[Index].backoffDuration();
   if (!Backoff)
@@ -170,6 +194,8 @@
     return;
   RemovalTimes_.erase(Due);
   std::erase(Ejected_, Index);
+  RanRecently_.erase(Index);
+  RanRecentlyLocal_.erase(Index);
   IndexById_.erase(Instances_[Index].record().Id_);
   FreeIndices_.push_back(Index);
 }
--- a/Libraries/LibUpstream/UpstreamPool.h
+++ b/Libraries/LibUpstream/UpstreamPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibUpstream/CandidateCost.h>
 #include <LibUpstream/IndexSet.h>
 #include <LibUpstream/UpstreamInstance.h>
 
@@ -15,12 +16,6 @@
 /// except for one lookup by id.
 class UpstreamPool {
 public:
-  /// Extra cost of an instance in a remote failure domain. Local instances are
-  /// preferred until they have two more of four slots in use.
-  static constexpr SelectionCost RemoteDomainCost{0.5};
-  /// Extra cost of an instance that returns from an ejection, for requests that
-  /// must not be repeated: others try it first.
-  static constexpr SelectionCost ProbationCost{2};
   /// Instances that join within this time after the first one are not treated
   /// as cold, because the gateway itself has just started.
   static constexpr Duration StartupGracePeriod = 5s;
@@ -29,8 +24,12 @@
   /// hardly changes the mean that it is compared with.
   static constexpr EventCount LatencySampleWindow{100};
 
-  explicit UpstreamPool(FailureDomain LocalDomain)
-      : LocalDomain_(std::move(LocalDomain)) {}
+  /// Time from a rejection until its weight in the pool's share has halved.
+  static constexpr Duration RejectionHalfLife = 2s;
+
+  explicit UpstreamPool(FailureDomain LocalDomain,
+                        Placement Mode = Placement::Load)
+      : LocalDomain_(std::move(LocalDomain)), Mode_(Mode) {}
 
   /// Sets the share of serving instances that ejection and backoff must leave
   /// in rotation.
@@ -47,7 +46,7 @@
 
   /// Returns an available instance that has not been tried; none when there is
   /// no such instance.
-  template <typename Policy>
+  template <CandidateCost CostPolicy = LoadCost, typename Policy>
   std::optional<InstanceId> select(Policy &Selector,
                                    const SelectionRequest &Request,
                                    TimePoint Now) const;
@@ -67,9 +66,11 @@
   std::size_t servingCount() const { return Serving_.size(); }
   SlotCount slotsInUse() const { return InUse_; }
   const LatencyEstimate &latency() const { return Latency_; }
+  /// Rejections by the instances; empty with placement by load.
+  const RejectionShare &rejections() const { return Rejections_; }
 
 private:
-  class Candidates;
+  template <CandidateCost CostPolicy> class Candidates;
 
   std::size_t maxOutOfRotation() const;
   /// Updates the index sets and wake-ups after a change of the instance.
@@ -77,11 +78,16 @@
   void scheduleWakeup(std::size_t Index, TimePoint At) {
     Wakeups_.emplace(At, Index);
   }
+  /// Updates the sets of instances that ran a request recently. Drops at most
+  /// one outdated member per call, so that the cost does not grow with the
+  /// pool.
+  void updateRanRecently(std::size_t Index, TimePoint Now);
   void backOffIfPermitted(std::size_t Index, TimePoint Now);
   /// Removes a departed instance once no delayed older record of it can arrive.
   void removeWhenDue(std::size_t Index, TimePoint Now);
 
   FailureDomain LocalDomain_;
+  Placement Mode_;
   Percentage Floor_{70};
   std::optional<TimePoint> FirstInstanceAt_;
   std::vector<UpstreamInstance> Instances_;
@@ -91,6 +97,9 @@
   IndexSet Available_;
   IndexSet AvailableLocal_;
   IndexSet BackedOff_;
+  IndexSet RanRecently_;
+  IndexSet RanRecentlyLocal_;
+  std::size_t NextCleanup_ = 0;
   std::vector<std::size_t> Ejected_;
   TimePoint EjectionsValidUntil_{};
   std::set<std::pair<TimePoint, std::size_t>> Wakeups_;
@@ -98,57 +107,69 @@
   std::map<std::size_t, TimePoint> RemovalTimes_;
   SlotCount InUse_;
   LatencyEstimate Latency_{LatencySampleWindow};
+  RejectionShare Rejections_{RejectionHalfLife};
 };
 
-/// View of the available instances for a selection policy.
-class UpstreamPool::Candidates {
+/// View of the instances in the scope of a request for a selection policy.
+template <CandidateCost CostPolicy> class UpstreamPool::Candidates {
 public:
   Candidates(const UpstreamPool &Pool, const SelectionRequest &Request,
              TimePoint Now)
-      : Pool_(Pool), Request_(Request), Now_(Now) {}
+      : Pool_(Pool), Request_(Request), Now_(Now),
+        Members_(isNarrowed() ? Pool.RanRecently_ : Pool.Available_),
+        LocalMembers_(isNarrowed() ? Pool.RanRecentlyLocal_
+                                   : Pool.AvailableLocal_) {}
 
-  std::size_t count() const { return Pool_.Available_.size(); }
-  std::size_t localCount() const { return Pool_.AvailableLocal_.size(); }
+  std::size_t count() const { return Members_.size(); }
+  std::size_t localCount() const { return LocalMembers_.size(); }
   std::size_t localPosition(std::size_t Local) const {
-    return Pool_.Available_.positionOf(Pool_.AvailableLocal_.at(Local));
+    return Members_.positionOf(LocalMembers_.at(Local));
   }
   std::size_t excludedCount() const { return Request_.Tried_.size(); }
   bool isExcluded(std::size_t Position) const {
-    const InstanceId &Id = instance(Position).record().Id_;
+    const UpstreamInstance &Candidate = instance(Position);
+    if (isNarrowed() &&
+        !(Candidate.isAvailable(Now_) && Candidate.hasRunRecently(Now_)))
+      return true;
+    const InstanceId &Id = Candidate.record().Id_;
     return std::find(Request_.Tried_.begin(), Request_.Tried_.end(), Id) !=
            Request_.Tried_.end();
   }
   SelectionCost cost(std::size_t Position) const {
-    const UpstreamInstance &Instance = instance(Position);
-    SelectionCost BaseCost = Instance.cost(Pool_.Latency_.mean(), Now_);
-    if (!Request_.IsRepeatable_ && Instance.isOnProbation(Now_))
-      BaseCost = BaseCost + ProbationCost;
-    return Instance.record().Domain_ == Pool_.LocalDomain_
-               ? BaseCost
-               : BaseCost + RemoteDomainCost;
+    const UpstreamInstance &Candidate = instance(Position);
+    return CostPolicy::cost(
+        Candidate, CostContext{Pool_.Latency_.mean(),
+                               Candidate.record().Domain_ == Pool_.LocalDomain_,
+                               Request_.IsRepeatable_, Now_});
   }
   const UpstreamInstance &instance(std::size_t Position) const {
-    return Pool_.Instances_[Pool_.Available_.at(Position)];
+    return Pool_.Instances_[Members_.at(Position)];
   }
 
 private:
+  bool isNarrowed() const {
+    return Request_.Scope_ == CandidateScope::RanRecently;
+  }
+
   const UpstreamPool &Pool_;
   const SelectionRequest &Request_;
   TimePoint Now_;
+  const IndexSet &Members_;
+  const IndexSet &LocalMembers_;
 };
 
-template <typename Policy>
+template <CandidateCost CostPolicy, typename Policy>
 std::optional<InstanceId> UpstreamPool::select(Policy &Selector,
                                                const SelectionRequest &Request,
                                                TimePoint Now) const {
-  static_assert(SelectionPolicy<Policy, Candidates>);
-  if (Available_.isEmpty())
+  static_assert(SelectionPolicy<Policy, Candidates<CostPolicy>>);
+  Candidates<CostPolicy> InScope(*this, Request, Now);
+  if (InScope.count() == 0)
     return std::nullopt;
-  Candidates Available(*this, Request, Now);
-  std::optional<std::size_t> Chosen = Selector.choose(Available);
+  std::optional<std::size_t> Chosen = Selector.choose(InScope);
   if (!Chosen)
     return std::nullopt;
-  return Available.instance(*Chosen).record().Id_;
+  return InScope.instance(*Chosen).record().Id_;
 }
 
 } // namespace jaybridge
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -111,6 +111,7 @@
       EventCount(DaemonSettings.QueueLimit_.value());
   PathOptions.Gateway_.RetryBounds_ = {RetriesPerService, RetriesPerService,
                                        true};
+  PathOptions.Gateway_.Placement_ = DaemonSettings.Placement_;
   PathOptions.Seed_ = randomSeed(DaemonSettings, 2);
   JAYBRIDGE_TRY(RequestPath_, RequestPath::create(PathOptions, requestSinks()));
   std::vector<ControlRoute> Routes =
@@ -153,6 +154,11 @@
   Sinks.Overdue_ = [this](ReportOverdue Overdue) {
     postToSubscription(std::move(Overdue));
   };
+  Sinks.CapacityChanged_ = [this](const CapacityChanged &Changed) {
+    Log_.writeStateChange(LogLevel::Info,
+                          "capacity of " + Changed.Service_.text(),
+                          Changed.IsShort_ ? "short" : "sufficient");
+  };
   Sinks.RetrySpent_ = [this](ReportRetry Spent) {
     postToSubscription(std::move(Spent));
   };
@@ -273,6 +279,7 @@
   Set("jaybridge_requests_refused_not_run", Counts.RefusedNotRun_);
   Set("jaybridge_requests_refused_ran", Counts.RefusedRan_);
   Set("jaybridge_requests_refused_unknown", Counts.RefusedUnknown_);
+  Set("jaybridge_requests_refused_for_capacity", Counts.RefusedForCapacity_);
   Set("jaybridge_log_lines_dropped", Log_.droppedLineCount());
   Set("jaybridge_configuration_version", EventCount(AppliedVersion_));
   const UpstreamClientCounts Upstreams = RequestPath_->upstreams().counts();
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -68,10 +68,12 @@
 }
 
 RequestPathCounts RequestPath::counts() const {
-  return RequestPathCounts{
-      EventCount(Counters_.Answered_), EventCount(Counters_.RefusedNotRun_),
-      EventCount(Counters_.RefusedRan_), EventCount(Counters_.RefusedUnknown_),
-      EventCount(Counters_.RingsFull_)};
+  return RequestPathCounts{EventCount(Counters_.Answered_),
+                           EventCount(Counters_.RefusedNotRun_),
+                           EventCount(Counters_.RefusedRan_),
+                           EventCount(Counters_.RefusedUnknown_),
+                           EventCount(Counters_.RefusedForCapacity_),
+                           EventCount(Counters_.RingsFull_)};
 }
 
 bool RequestPath::drain(Duration Limit) {
@@ -150,6 +152,12 @@
   return std::nullopt;
 }
 
+std::optional<GatewayEvent> RequestPath::deliver(CapacityChanged &Effect) {
+  if (Sinks_.CapacityChanged_)
+    Sinks_.CapacityChanged_(Effect);
+  return std::nullopt;
+}
+
 std::optional<GatewayEvent> RequestPath::deliver(ReportRetry &Effect) {
   if (Sinks_.RetrySpent_)
     Sinks_.RetrySpent_(std::move(Effect));
@@ -179,6 +187,10 @@
 
 void RequestPath::count(const Answer &Counted) {
   const auto *AsRefusal = std::get_if<Refusal>(&Counted);
+  if (AsRefusal != nullptr && AsRefusal->Outcome_ == Outcome::NotRun &&
+      (AsRefusal->Reason_ == RefusalReason::Overloaded ||
+       AsRefusal->Reason_ == RefusalReason::UpstreamUnavailable))
+    ++Counters_.RefusedForCapacity_;
   if (AsRefusal == nullptr)
     ++Counters_.Answered_;
   else if (AsRefusal->Outcome_ == Outcome::NotRun)
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -28,6 +28,8 @@
   /// May be empty.
   std::function<void(ReportOverdue)> Overdue_;
   /// May be empty.
+  std::function<void(const CapacityChanged &)> CapacityChanged_;
+  /// May be empty.
   std::function<void(ReportRetry)> RetrySpent_;
   std::function<bool(ForwardRequest)> Forward_;
   std::function<void(CancelForward)> CancelForward_;
@@ -44,6 +46,9 @@
   EventCount RefusedNotRun_;
   EventCount RefusedRan_;
   EventCount RefusedUnknown_;
+  /// Part of RefusedNotRun_: no instance had capacity, or instances rejected
+  /// the request.
+  EventCount RefusedForCapacity_;
   /// Effects that could not be passed on because the receiver's ring was full.
   EventCount RingsFull_;
 };
@@ -87,6 +92,7 @@
     std::atomic<std::uint64_t> RefusedNotRun_{0};
     std::atomic<std::uint64_t> RefusedRan_{0};
     std::atomic<std::uint64_t> RefusedUnknown_{0};
+    std::atomic<std::uint64_t> RefusedForCapacity_{0};
     std::atomic<std::uint64_t> RingsFull_{0};
   };
 
@@ -101,6 +107,7 @@
   std::optional<GatewayEvent> deliver(FinishKey &Effect);
   std::optional<GatewayEvent> deliver(ReportAttempt &Effect);
   std::optional<GatewayEvent> deliver(ReportOverdue &Effect);
+  std::optional<GatewayEvent> deliver(CapacityChanged &Effect);
   std::optional<GatewayEvent> deliver(ReportRetry &Effect);
   std::optional<GatewayEvent> deliver(ForwardRequest &Effect);
   std::optional<GatewayEvent> deliver(CancelForward &Effect);
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -71,6 +71,8 @@
         SettingsCase{"NoAllowance", "retry-allowance", "0", ""},
         SettingsCase{"AllowanceTooGreat", "retry-allowance", "1000001",
                      "from 0 to 1000000"},
+        SettingsCase{"Placement", "placement", "cost", ""},
+        SettingsCase{"UnknownPlacement", "placement", "best", "load or cost"},
         SettingsCase{"Level", "log-level", "debug", ""},
         SettingsCase{"UnknownLevel", "log-level", "loud", "debug, info"},
         SettingsCase{"NoTokenFile", "peer-token-file", "", "path"},
