Tests/platform: Meet malformed responses with a real gateway

Guards against a malformed response that passes a gateway, and against a repeatable request that is not sent to another instance after one: six instances, every tenth response with status 000, status 600, a signed length or the encoding identity.

--- a/Tests/platform/TestFaultyInstances.cpp
+++ b/Tests/platform/TestFaultyInstances.cpp
@@ -180,6 +180,68 @@
   EXPECT_EQ(FalselyRefused, 0U) << "actions that ran and were refused";
 }
 
+struct MalformedCase {
+  const char *Name_;
+  /// The head without the fields that the platform prescribes.
+  const char *StatusLine_;
+  const char *Fields_;
+};
+
+class MalformedResponseTest : public testing::TestWithParam<MalformedCase> {};
+
+// Guards against a malformed response that reaches a caller, and against a
+// repeatable request that is not sent to another instance after one.
+TEST_P(MalformedResponseTest, IsRetriedOrRefusedButNeverForwarded) {
+  constexpr std::size_t Pairs = 60;
+  DutyFleet Fleet(1);
+  ASSERT_TRUE(Fleet.start());
+  std::atomic<unsigned> Received = 0;
+  Fleet.addInstances(6, [&](const InstanceRequest &Request) -> InstanceReply {
+    if (Request.Target_.find("/ready") != std::string::npos ||
+        ++Received % 10 != 0)
+      return answerSoundly(Request);
+    return WriteBytes{std::string(GetParam().StatusLine_) +
+                      "\r\nRequest-Id: " + Request.RequestId_ +
+                      "\r\nResponse-Signature: signed\r\n" +
+                      GetParam().Fields_ + "\r\nx"};
+  });
+  ASSERT_TRUE(Fleet.waitUntilServing("/safe/ready"));
+  std::vector<LoadRequest> Requests;
+  for (std::size_t Index = 0; Index < Pairs; ++Index)
+    for (bool IsSafe : {true, false}) {
+      Requests.push_back(Fleet.request(0, IsSafe ? "GET" : "POST",
+                                       (IsSafe ? "/safe/" : "/unsafe/") +
+                                           std::to_string(Index)));
+      Requests.back().SendOffset_ = static_cast<int>(Index) * 20ms;
+    }
+  std::size_t RefusedSafe = 0;
+  std::size_t RefusedUnsafe = 0;
+  std::vector<LoadResponse> Responses = runLoad(Requests, {});
+  for (std::size_t Index = 0; Index < Responses.size(); ++Index) {
+    if (Responses[Index].Status_ == 200) {
+      EXPECT_EQ(Responses[Index].Body_, "sound");
+      continue;
+    }
+    EXPECT_EQ(Responses[Index].Status_, 502U);
+    ++(Requests[Index].Method_ == "GET" ? RefusedSafe : RefusedUnsafe);
+  }
+  EXPECT_GT(RefusedUnsafe, 0U) << "no action met a malformed response";
+  // The gateway has one retry at a time; control members replace it.
+  EXPECT_LE(RefusedSafe, Pairs / 20);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Heads, MalformedResponseTest,
+    testing::Values(MalformedCase{"Status000", "HTTP/1.1 000 None",
+                                  "Content-Length: 1\r\n"},
+                    MalformedCase{"Status600", "HTTP/1.1 600 High",
+                                  "Content-Length: 1\r\n"},
+                    MalformedCase{"SignedLength", "HTTP/1.1 200 OK",
+                                  "Content-Length: +1\r\n"},
+                    MalformedCase{"OtherEncoding", "HTTP/1.1 200 OK",
+                                  "Transfer-Encoding: identity\r\n"}),
+    CaseName());
+
 /// Memory that a gateway may use on the smallest VMs.
 constexpr ByteCount GatewayMemory(160UL * 1000 * 1000);
 
