LibRouting, jaybridge: Explain where a request would go now

Cause: an operator could see from the log where a request went, but not where a gateway would send the next one, and why an instance gets none.

Change: Gateway::explain() returns a RoutingExplanation: route, services with weights, the admission (admitted, queued with the expected wait, forwarded, refused with the reason), and each instance with its selection cost, its requests and limit, or the reason why it is no candidate. It is const and draws no random number. The event ExplanationRequest asks the gateway's own thread; the effect ExplanationResponse completes the wait of the status listener, which gives up after 250 ms and answers 503. The fields for team and tokens stay empty until gateways know teams.

The answer 503 of a busy gateway has no test.

--- a/Libraries/LibRouting/AdmissionQueue.cpp
+++ b/Libraries/LibRouting/AdmissionQueue.cpp
@@ -12,7 +12,7 @@
 }
 
 std::optional<RequestId> AdmissionQueue::evictBelow(ClassWeight Weight) {
-  if (ByPriority_.empty() || ByPriority_.rbegin()->Weight_ >= Weight)
+  if (!hasBelow(Weight))
     return std::nullopt;
   RequestId Id = ByPriority_.rbegin()->Id_;
   remove(Id);
--- a/Libraries/LibRouting/AdmissionQueue.h
+++ b/Libraries/LibRouting/AdmissionQueue.h
@@ -28,6 +28,10 @@
   explicit AdmissionQueue(EventCount Capacity) : Capacity_(Capacity) {}
 
   bool isFull() const { return Entries_.size() >= Capacity_.value(); }
+  /// Whether a request with a lower weight than the given one is queued.
+  bool hasBelow(ClassWeight Weight) const {
+    return !ByPriority_.empty() && ByPriority_.rbegin()->Weight_ < Weight;
+  }
   /// Removes and returns the request of the lowest priority in the queue if its
   /// weight is below the given one.
   std::optional<RequestId> evictBelow(ClassWeight Weight);
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -38,6 +38,10 @@
     return Next;
   }
 
+  /// Where the request would go now, and why. Changes no state, and ignores the
+  /// request's idempotency key.
+  RoutingExplanation explain(const Request &Asked, TimePoint Now) const;
+
   /// True when a drain has started and no request or attempt is in progress.
   bool isDrained() const {
     return Drain_ && HeldRequests_.empty() && Dispatcher_.isIdle();
@@ -71,6 +75,7 @@
     Dispatcher_.addGrantedRetries(Incoming);
   }
   void on(const DrainStarted &Incoming, TimePoint Now, Effects &Out);
+  void on(const ExplanationRequest &Incoming, TimePoint Now, Effects &Out);
 
   /// Admits or refuses a request whose service and profile are known.
   void open(const RequestReceived &Incoming, RequestExecution NewExecution,
@@ -88,6 +93,15 @@
   /// Claims the key of the request if it needs a claim, or else dispatches it.
   void serveLocally(RequestExecution &Execution, TimePoint Now, Effects &Out);
 
+  RoutingExplanation explainRoute(const Request &Asked, TimePoint Now) const;
+  ServiceExplanation explainService(const Request &Asked,
+                                    const WeightedService &Part,
+                                    const Profile &ServiceProfile,
+                                    TimePoint Deadline, TimePoint Now) const;
+  /// What would happen to a new request whose service and profile are known.
+  AdmissionDecision assess(const RequestExecution &Execution,
+                           TimePoint Now) const;
+
   GatewaySettings Settings_;
   std::optional<DrainStarted> Drain_;
   RequestDispatcher Dispatcher_;
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -5,6 +5,7 @@
 #include <LibExchange/Request.h>
 #include <LibProfile/RoutingTable.h>
 #include <LibProfile/ServicePolicy.h>
+#include <LibRouting/RoutingExplanation.h>
 #include <LibUpstream/AttemptOutcome.h>
 #include <LibUpstream/InstanceRecord.h>
 
@@ -125,11 +126,21 @@
   TimePoint FinishBy_ = TimePoint::max();
 };
 
+/// Asks where a request would go now, without sending it. Gets one
+/// ExplanationResponse.
+struct ExplanationRequest {
+  ExplanationId Id_;
+  std::shared_ptr<const Request> Request_;
+  /// The team to explain the request for, if one was given.
+  std::optional<TeamName> Team_;
+};
+
 using GatewayEvent =
     std::variant<RequestReceived, CallerDisconnected, AttemptFinished,
                  CatalogChanged, RoutingChanged, InstanceChanged, LoadReported,
                  EjectionsChanged, FingerprintsQuarantined, ClaimDecided,
-                 HomesChanged, ForwardAnswered, RetriesGranted, DrainStarted>;
+                 HomesChanged, ForwardAnswered, RetriesGranted, DrainStarted,
+                 ExplanationRequest>;
 
 // Effects: commands to the host of the gateway.
 
@@ -234,9 +245,15 @@
   std::string Detail_;
 };
 
+/// The answer to an ExplanationRequest.
+struct ExplanationResponse {
+  ExplanationId Id_;
+  std::shared_ptr<const RoutingExplanation> Explanation_;
+};
+
 using GatewayEffect =
     std::variant<SendAttempt, CancelAttempt, AnswerCaller, ClaimKey, ReleaseKey,
                  FinishKey, ReportAttempt, ForwardRequest, CancelForward,
-                 RecordStep, ReportRetry, ReportOverdue>;
+                 RecordStep, ReportRetry, ReportOverdue, ExplanationResponse>;
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -14,11 +14,6 @@
 /// then the gateway ends it as timed out. Otherwise a missing report would
 /// occupy a slot of the instance forever.
 constexpr Duration ReportTimeout = 5s;
-/// A request is queued only if its predicted wait is at most the remaining time
-/// divided by this; the rest is left for the service time. At three times the
-/// load and a patience of four service times, a half served 94% of what the
-/// pool can serve, a quarter 98% and a sixth 99%.
-constexpr int QueueWaitDivisor = 6;
 
 bool isTransient(RefusalReason Reason) {
   switch (Reason) {
--- a/Libraries/LibRouting/RequestDispatcher.h
+++ b/Libraries/LibRouting/RequestDispatcher.h
@@ -45,6 +45,12 @@
   RequestExecution &open(RequestExecution Execution);
   /// Refuses a queued request with a lower weight; false when there is none.
   bool shedLowerWeight(ClassWeight Weight, TimePoint Now, Effects &Out);
+  bool canShedLowerWeight(ClassWeight Weight) const {
+    return Queue_.hasBelow(Weight);
+  }
+  /// What dispatchOrQueue() would do with the request.
+  AdmissionDecision assess(const RequestExecution &Execution,
+                           TimePoint Now) const;
   /// Dispatches the request to an instance, queues it or refuses it. The
   /// execution may be destroyed afterwards.
   void dispatchOrQueue(RequestExecution &Execution, TimePoint Now,
@@ -68,6 +74,12 @@
                   std::string Detail, Effects &Out) const;
 
 private:
+  /// A request is queued only if its predicted wait is at most the remaining
+  /// time divided by this; the rest is left for the service time. At three
+  /// times the load and a patience of four service times, a half served 94% of
+  /// what the pool can serve, a quarter 98% and a sixth 99%.
+  static constexpr int QueueWaitDivisor = 6;
+
   enum class DispatchKind { Normal, Hedge };
   using Timers = std::set<std::pair<TimePoint, RequestId>>;
 
--- a/Libraries/LibUpstream/UpstreamInstance.h
+++ b/Libraries/LibUpstream/UpstreamInstance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibUpstream/AttemptOutcome.h>
+#include <LibUpstream/CandidateView.h>
 #include <LibUpstream/ConcurrencyLimit.h>
 #include <LibUpstream/InstanceRecord.h>
 #include <LibUpstream/LatencyEstimate.h>
@@ -59,6 +60,8 @@
   }
   TimePoint backoffEnd() const { return BackoffEndsAt_; }
   bool isAvailable(TimePoint Now) const;
+  /// Precondition: the instance is not available.
+  UnavailableReason unavailableReason(TimePoint Now) const;
   /// Selection cost, computed from load, failures and the latency relative to
   /// the mean of the pool.
   SelectionCost cost(Duration PoolMeanLatency, TimePoint Now) const;
--- a/Libraries/LibUpstream/UpstreamPool.h
+++ b/Libraries/LibUpstream/UpstreamPool.h
@@ -62,6 +62,9 @@
 
   /// The pointer is valid until the pool changes; null for an unknown instance.
   const UpstreamInstance *find(const InstanceId &Id) const;
+  /// All known instances by id, as a selection sees them.
+  std::vector<CandidateView> candidates(const SelectionRequest &Request,
+                                        TimePoint Now) const;
   bool hasServing() const { return !Serving_.isEmpty(); }
   bool hasAvailable() const { return !Available_.isEmpty(); }
   std::size_t servingCount() const { return Serving_.size(); }
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -1,3 +1,4 @@
+#include <ExplainRoute.h>
 #include <GatewayDaemon.h>
 #include <ProcessStart.h>
 
@@ -23,6 +24,9 @@
 /// Retries per service that each gateway holds; the control members replace
 /// those that it spends.
 constexpr EventCount RetriesPerService(1);
+/// Time for which the status listener waits for an explanation. Its thread also
+/// answers the readiness checks of balancers, one a second.
+constexpr std::chrono::milliseconds ExplanationTimeout(250);
 /// Connections within a region open within a few milliseconds; a lost packet is
 /// retransmitted after about 200 ms.
 constexpr Duration ConnectTimeout = 400ms;
@@ -118,6 +122,11 @@
                    [this] { return !IsDraining_ && AppliedVersion_ > 0; });
   Routes.push_back(platform::readinessRoute(
       [this] { return !IsDraining_ && AppliedVersion_ > 0; }));
+  Routes.push_back(explainRoute([this](std::shared_ptr<const Request> Asked,
+                                       std::optional<TeamName> Team) {
+    return RequestPath_->explain(std::move(Asked), std::move(Team),
+                                 ExplanationTimeout);
+  }));
   JAYBRIDGE_TRY(StatusListener_, ControlListener::create(
                                      {.Address_ = DaemonSettings.StatusAddress_,
                                       .Token_ = std::nullopt},
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -177,6 +177,26 @@
   return std::nullopt;
 }
 
+std::optional<GatewayEvent>
+RequestPath::deliver(const ExplanationResponse &Effect) {
+  Explanations_.complete(Effect);
+  return std::nullopt;
+}
+
+Result<PendingExplanations::Explanation>
+RequestPath::explain(std::shared_ptr<const Request> Asked,
+                     std::optional<TeamName> Team,
+                     std::chrono::milliseconds Limit) {
+  PendingExplanations::Ticket Opened = Explanations_.open();
+  const ExplanationId Id = Opened.Id_;
+  if (!GatewayThread_.ring().tryPush(GatewayEvent(
+          ExplanationRequest{Id, std::move(Asked), std::move(Team)}))) {
+    Explanations_.cancel(Id);
+    return Error{ErrorCode::Unavailable, "the gateway's ring is full", {}};
+  }
+  return Explanations_.wait(std::move(Opened), Limit);
+}
+
 void RequestPath::count(const Answer &Counted) {
   const auto *AsRefusal = std::get_if<Refusal>(&Counted);
   if (AsRefusal == nullptr)
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <PendingExplanations.h>
+
 #include <LibHTTP/CallerListener.h>
 #include <LibHTTP/UpstreamClient.h>
 #include <LibRouting/Gateway.h>
@@ -65,6 +67,12 @@
   /// full.
   [[nodiscard]] bool postForwarded(std::shared_ptr<const Request> Forwarded);
 
+  /// Asks the gateway's thread where the request would go now. Waits for at
+  /// most the limit. Errors: Unavailable when the thread is busy for longer.
+  Result<PendingExplanations::Explanation>
+  explain(std::shared_ptr<const Request> Asked, std::optional<TeamName> Team,
+          std::chrono::milliseconds Limit);
+
   const CallerListener &callers() const { return *Callers_; }
   const UpstreamClient &upstreams() const { return *Upstreams_; }
   RequestPathCounts counts() const;
@@ -105,11 +113,13 @@
   std::optional<GatewayEvent> deliver(ForwardRequest &Effect);
   std::optional<GatewayEvent> deliver(CancelForward &Effect);
   std::optional<GatewayEvent> deliver(RecordStep &Effect);
+  std::optional<GatewayEvent> deliver(const ExplanationResponse &Effect);
   void count(const Answer &Counted);
 
   MemberId Self_;
   RequestPathSinks Sinks_;
   Counters Counters_;
+  PendingExplanations Explanations_;
   EventLoopThread<Gateway> GatewayThread_;
   std::optional<UpstreamClient> Upstreams_;
   std::optional<CallerListener> Callers_;
--- a/Tests/platform/DutyFleet.cpp
+++ b/Tests/platform/DutyFleet.cpp
@@ -226,6 +226,13 @@
   return runLoad({request(Gateway, Method, Path)}, {})[0];
 }
 
+LoadResponse DutyFleet::explain(std::size_t Gateway, const std::string &Query) {
+  LoadRequest Asked = request(Gateway, "GET", "/explain?" + Query);
+  Asked.Target_ =
+      Endpoint::create(gatewayAddress(Gateway), StatusPort_).takeValue();
+  return runLoad({Asked}, {})[0];
+}
+
 std::size_t DutyFleet::endedProcesses() const {
   std::size_t Ended = 0;
   for (const auto *Processes : {&Members_, &Gateways_})
--- a/Tests/platform/DutyFleet.h
+++ b/Tests/platform/DutyFleet.h
@@ -41,6 +41,8 @@
                       const std::string &Path);
   LoadResponse send(std::size_t Gateway, const std::string &Method,
                     const std::string &Path);
+  /// Asks the gateway to explain the routing of a request.
+  LoadResponse explain(std::size_t Gateway, const std::string &Query);
   /// Sends an entry of the list of instances to control members until one
   /// answers finally. Returns the status.
   unsigned announce(const std::string &Id, const std::string &Body);
--- a/Utilities/jaybridge/OperatorClient.cpp
+++ b/Utilities/jaybridge/OperatorClient.cpp
@@ -43,7 +43,8 @@
   CurlHandle Handle(curl_easy_init(), &curl_easy_cleanup);
   JAYBRIDGE_VERIFY(Handle != nullptr);
   HeaderList Headers;
-  Headers.append("Authorization: Bearer " + Token);
+  if (!Token.empty())
+    Headers.append("Authorization: Bearer " + Token);
   Headers.append("Content-Type: application/json");
   std::string Url = "http://" + Daemon.text() + Path;
   OperatorReply Reply;
--- a/Utilities/jaybridge/OperatorClient.h
+++ b/Utilities/jaybridge/OperatorClient.h
@@ -25,6 +25,12 @@
   static Result<OperatorClient> create(std::vector<Endpoint> Daemons,
                                        const std::string &TokenFile);
 
+  /// Client for a listener that needs no token, as the status listener of a
+  /// gateway.
+  static OperatorClient open(Endpoint Listener) {
+    return OperatorClient({std::move(Listener)}, {});
+  }
+
   /// Fails with `Unavailable` when no daemon answered.
   Result<OperatorReply> get(const std::string &Path) const;
   Result<OperatorReply> post(const std::string &Path,
--- a/Utilities/jaybridge/Options.h
+++ b/Utilities/jaybridge/Options.h
@@ -11,6 +11,16 @@
 
 namespace jaybridge {
 
+/// The request that `jaybridge explain` asks about.
+struct ExplainOptions {
+  /// Status address of the gateway.
+  std::optional<Endpoint> Gateway_;
+  std::string Host_;
+  std::string Path_;
+  std::string Method_ = "GET";
+  std::string Team_;
+};
+
 /// Options from the command line and the environment.
 struct Options {
   std::vector<Endpoint> Daemons_;
@@ -25,6 +35,7 @@
   std::string Since_;
   std::string Service_;
   std::string Kind_;
+  ExplainOptions Explain_;
   /// Positional arguments: the command and its operands.
   std::vector<std::string> Arguments_;
 };
--- a/Utilities/jaybridge/main.cpp
+++ b/Utilities/jaybridge/main.cpp
@@ -1,4 +1,5 @@
 #include <Commands.h>
+#include <Explain.h>
 
 #include <gflags/gflags.h>
 
@@ -18,6 +19,11 @@
 DEFINE_string(since, "", "show audit entries from this time on, ms since 1970");
 DEFINE_string(service, "", "show audit entries of this service");
 DEFINE_string(kind, "", "show audit entries of this kind");
+DEFINE_string(gateway, "", "status address of a gateway, A.B.C.D:PORT");
+DEFINE_string(host, "", "host of the request to explain");
+DEFINE_string(path, "", "path of the request to explain, with its query");
+DEFINE_string(method, "GET", "method of the request to explain");
+DEFINE_string(team, "", "team of the request to explain");
 DEFINE_bool(repeatable, false, "requests may be executed more than once");
 DEFINE_int64(patience_ms, 0,
              "deadline of requests that state none, 1 to 300000 ms");
@@ -101,6 +107,13 @@
   Opts.Since_ = FLAGS_since;
   Opts.Service_ = FLAGS_service;
   Opts.Kind_ = FLAGS_kind;
+  if (!FLAGS_gateway.empty()) {
+    JAYBRIDGE_TRY(Opts.Explain_.Gateway_, Endpoint::create(FLAGS_gateway));
+  }
+  Opts.Explain_.Host_ = FLAGS_host;
+  Opts.Explain_.Path_ = FLAGS_path;
+  Opts.Explain_.Method_ = FLAGS_method;
+  Opts.Explain_.Team_ = FLAGS_team;
   Opts.Arguments_.assign(Arguments + 1, Arguments + Count);
   return Opts;
 }
@@ -112,10 +125,12 @@
   }
   auto Opts = readOptions(Count, Arguments);
   if (!Opts) {
-    std::fprintf(stderr, "jaybridge: --daemon: %s\n",
+    std::fprintf(stderr, "jaybridge: --daemon or --gateway: %s\n",
                  Opts.error().Message_.c_str());
     return static_cast<int>(ExitCode::Usage);
   }
+  if (Opts.value().Arguments_ == std::vector<std::string>{"explain"})
+    return static_cast<int>(runExplain(Opts.value()));
   auto Client =
       OperatorClient::create(Opts.value().Daemons_, Opts.value().TokenFile_);
   if (!Client) {
