--- a/Libraries/LibRouting/RequestDispatcher.cpp
+++ b/Libraries/LibRouting/RequestDispatcher.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-/// A request is queued only if its predicted wait is at most the remaining time
-/// divided by this; the rest is left for the service time. At three times the
-/// load and a patience of four service times, a half served 94% of what the
-/// pool can serve, a quarter 98% and a sixth 99%.
-constexpr int QueueWaitDivisor = 6;
-
 bool isTransient(RefusalReason Reason) {
   switch (Reason) {
   case RefusalReason::NoInstance:
