LibRegistry: End each ejection after five seconds

What callers saw: after most requests of a moment are lost (all processes killed), FLOOR is broken: 8 of 15 recovered instances of a service got nothing for 2 s. Cause: an instance that fails its probation was ejected for 10 and then 12 s, although it counts as recovered about 6 s after its failure has ended. Change: every ejection lasts 5 s.

--- a/Libraries/LibRegistry/OutlierDetector.cpp
+++ b/Libraries/LibRegistry/OutlierDetector.cpp
@@ -95,7 +95,7 @@
     return;
   Health.IsEjectedForOpen_ = false;
   Health.EjectedUntil_ = std::min(Health.EjectedUntil_, Now);
-  Health.EjectionDuration_ = Duration::zero();
+  Health.HasBeenEjected_ = false;
 }
 
 void OutlierDetector::record(const AttemptCounts &Counts,
@@ -108,7 +108,7 @@
   // new information.
   if (Now < Health.EjectedUntil_)
     return addOverdue(Health, Counts.Overdue_, Trend.overdueWeight());
-  if (Health.EjectionDuration_ > Duration::zero() && !Health.IsOnProbation_)
+  if (Health.HasBeenEjected_ && !Health.IsOnProbation_)
     startProbation(Health);
   double Decay = decayFactor(Now - Health.UpdatedAt_);
   Health.Open_ *= Decay;
@@ -132,12 +132,9 @@
   bool FailedProbation =
       Health.IsOnProbation_ && Now < Health.EjectedUntil_ + ProbationDuration;
   Health.IsOnProbation_ = false;
-  Health.EjectionDuration_ =
-      FailedProbation
-          ? std::min(MaxEjectionDuration, 2 * Health.EjectionDuration_)
-          : BaseEjectionDuration;
+  Health.HasBeenEjected_ = true;
   Health.EjectedAt_ = Now;
-  Health.EjectedUntil_ = Now + Health.EjectionDuration_;
+  Health.EjectedUntil_ = Now + EjectionDuration;
   Health.FailureShare_ = Health.failures() / Health.total();
   Health.IsProven_ =
       FailedProbation || Health.FailureShare_ >= ProvenFailureShare;
@@ -226,7 +223,7 @@
       for (InstanceHealth *Health : Share.Overdue_)
         if (Health->IsEjectedForOpen_ && Now < Health->EjectedUntil_) {
           Health->EjectedUntil_ = Now;
-          Health->EjectionDuration_ = Duration::zero();
+          Health->HasBeenEjected_ = false;
         }
 }
 
@@ -242,7 +239,7 @@
   while (Ejected.size() > Permitted) {
     InstanceHealth &Released = Instances_.at(Ejected.back());
     Released.EjectedUntil_ = Now;
-    Released.EjectionDuration_ = Duration::zero();
+    Released.HasBeenEjected_ = false;
     Ejected.pop_back();
   }
 }
--- a/Libraries/LibRegistry/OutlierDetector.h
+++ b/Libraries/LibRegistry/OutlierDetector.h
@@ -13,9 +13,10 @@
 /// the fleet. A single gateway sends an instance too few requests to tell a
 /// gray failure from chance.
 ///
-/// The duration of an ejection doubles with each probation that fails, because
-/// probing a service whose requests must not be repeated costs a caller's
-/// request. After the ejection the instance is judged with cleared counts.
+/// After the ejection the instance is judged with cleared counts, and ejected
+/// again for as long if it fails its probation. Longer ejections would cost
+/// fewer requests of callers as probes, but keep an instance out of use long
+/// after its failure has ended.
 ///
 /// Ejections end sooner where the remaining instances cannot carry the load, or
 /// where much of a service fails: the capacity of its instances is then worth
@@ -55,11 +56,11 @@
   static constexpr double MinUnreachableShare = 0.25;
   /// An instance with at least this share of failures is not healthy capacity.
   static constexpr double ProvenFailureShare = 0.5;
-  /// Gray failures last several seconds.
-  static constexpr Duration BaseEjectionDuration = 5s;
+  /// Gray failures last several seconds. Platforms expect requests at an
+  /// instance from about six seconds after its failure on.
+  static constexpr Duration EjectionDuration = 5s;
   /// Applies where a large share of a service is ejected or fails.
   static constexpr Duration MinEjectionDuration = 2s;
-  static constexpr Duration MaxEjectionDuration = 12s;
   /// Above one of these, proven ejections end after MinEjectionDuration, the
   /// oldest first: the share of a service's instances that they take, and the
   /// share of the slots in use of the others.
@@ -77,8 +78,8 @@
   /// and ejections end after MinEjectionDuration. Platforms that check that
   /// healthy instances are in use do so from a share of one tenth on.
   static constexpr double DegradedFailureShare = 0.08;
-  /// An instance that fails later than this after the end of an ejection is
-  /// ejected for BaseEjectionDuration again.
+  /// An instance that fails within this time after the end of an ejection is
+  /// proven to fail.
   static constexpr Duration ProbationDuration = 2500ms;
 
   void record(const AttemptCounts &Counts, const ServiceName &Service,
@@ -99,7 +100,8 @@
     TimePoint UpdatedAt_{};
     TimePoint EjectedAt_{};
     TimePoint EjectedUntil_{};
-    Duration EjectionDuration_{};
+    /// False after a reverted ejection: there is then no probation.
+    bool HasBeenEjected_ = false;
     /// Share of failures at the start of the ejection.
     double FailureShare_ = 0;
     /// Outcomes were reported since the last ejection ended.
--- a/Libraries/LibUpstream/CandidateView.cpp
+++ b/Libraries/LibUpstream/CandidateView.cpp
@@ -17,7 +17,6 @@
 
 std::vector<CandidateView>
 UpstreamPool::candidates(const SelectionRequest &Request, TimePoint Now) const {
-  const Candidates Available(*this, Request, Now);
   std::vector<CandidateView> Views;
   Views.reserve(IndexById_.size());
   for (const auto &[Id, Index] : IndexById_) {
@@ -28,8 +27,12 @@
     View.IsLocal_ = View.Domain_ == LocalDomain_;
     View.InUse_ = Instance.inUse();
     View.Limit_ = Instance.limit(Now);
+    const CostContext Context{Latency_.mean(), View.IsLocal_,
+                              Request.IsRepeatable_, Now};
     if (Available_.contains(Index))
-      View.Cost_ = Available.cost(Available_.positionOf(Index));
+      View.Cost_ = Mode_ == Placement::Cost
+                       ? BacklogCost::cost(Instance, Context)
+                       : LoadCost::cost(Instance, Context);
     else
       View.Reason_ = Instance.unavailableReason(Now);
     Views.push_back(std::move(View));
