--- a/Libraries/LibCore/Identifiers.h
+++ b/Libraries/LibCore/Identifiers.h
@@ -11,8 +11,6 @@
 using ServiceName = Identifier<struct ServiceNameTag>;
 using RouteName = Identifier<struct RouteNameTag>;
 using ProfileName = Identifier<struct ProfileNameTag>;
-/// A group of callers that share keys, a priority and a limit.
-using TeamName = Identifier<struct TeamNameTag>;
 using FailureDomain = Identifier<struct FailureDomainTag>;
 using OperatorName = Identifier<struct OperatorNameTag>;
 /// A request received by a gateway; unique in the fleet.
--- a/Libraries/LibProfile/RoutingTable.cpp
+++ b/Libraries/LibProfile/RoutingTable.cpp
@@ -29,8 +29,7 @@
   Draft.Floor_ = MinInUsePercentage;
   Draft.RetryBudget_ = RetryBudgetPercentage;
   Draft.IsHedgingAllowed_ = Values.Repeatability_ == Repeatability::Repeatable;
-  Draft.Weight_ = ClassWeight(MaxPriority + 1 -
-                              std::min(MaxPriority, Values.Priority_.value()));
+  Draft.Weight_ = classWeightOf(Values.Priority_);
   return Draft;
 }
 
@@ -108,6 +107,10 @@
   return Policies;
 }
 
+ClassWeight classWeightOf(RoutePriority Priority) {
+  return ClassWeight(MaxPriority + 1 - std::min(MaxPriority, Priority.value()));
+}
+
 HostName hostNameOf(std::string_view Authority) {
   std::string Name(Authority.substr(0, Authority.find(':')));
   for (char &Character : Name)
--- a/Libraries/LibProfile/RoutingTable.h
+++ b/Libraries/LibProfile/RoutingTable.h
@@ -95,6 +95,9 @@
   TeamDirectory Teams_;
 };
 
+/// Weight of requests with this priority.
+ClassWeight classWeightOf(RoutePriority Priority);
+
 /// Host name of a `Host` header or authority, in lower case without the port.
 HostName hostNameOf(std::string_view Authority);
 
--- a/Libraries/LibProfile/Team.h
+++ b/Libraries/LibProfile/Team.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibCore/Identifiers.h>
 #include <LibCore/Quantity.h>
+#include <LibCore/TeamName.h>
 #include <LibCore/Time.h>
 
 #include <optional>
--- a/Libraries/LibProfile/TeamDirectory.cpp
+++ b/Libraries/LibProfile/TeamDirectory.cpp
@@ -10,6 +10,14 @@
   return Error{ErrorCode::Invalid, std::move(Message), Name.text()};
 }
 
+/// The name becomes the value of a header field.
+bool hasControlCharacter(const std::string &Text) {
+  constexpr unsigned char Delete = 0x7f;
+  return std::any_of(Text.begin(), Text.end(), [](unsigned char Character) {
+    return Character < ' ' || Character == Delete;
+  });
+}
+
 /// False for NaN too.
 bool isPermitted(const TeamLimit &Limit) {
   return Limit.Rate_ >= RequestRate(0) && Limit.Burst_ >= RequestTokens(0);
@@ -27,6 +35,8 @@
   for (TeamDraft &Draft : Drafts) {
     if (Draft.Name_.isEmpty())
       return invalid(TeamName("teams"), "a team has no name");
+    if (hasControlCharacter(Draft.Name_.text()))
+      return invalid(TeamName("teams"), "a name has control characters");
     if (!Created.isEmpty() && Created.Teams_.back().Name_ == Draft.Name_)
       return invalid(Draft.Name_, "the team is defined twice");
     if (Draft.Limit_ && !isPermitted(*Draft.Limit_))
--- a/Libraries/LibProfile/TeamDirectory.h
+++ b/Libraries/LibProfile/TeamDirectory.h
@@ -34,9 +34,9 @@
 public:
   TeamDirectory() = default;
 
-  /// Errors: `Invalid` if a team has no name, an empty key or a limit below 0,
-  /// if a name is given twice, or if two teams have the same key. The error
-  /// names the team, never the key.
+  /// Errors: `Invalid` if a team has no name, a name with control characters,
+  /// an empty key or a limit below 0, if a name is given twice, or if two teams
+  /// have the same key. The error names the team, never the key.
   static Result<TeamDirectory> create(std::vector<TeamDraft> Drafts);
 
   /// Null when no team has the key.
