LibRouting: Refuse requests without the key of a team

With teams in the configuration, a request on a route that is not public needs the key of a team. CallerAuthentication decides this against the version in force, and sets the team of the request; the key and the caller's own team are not part of the request that is sent. Without teams, the received fields are put back. The priority of the team replaces that of the route.

ControlContact keeps the time since which no control member has been confirmed.

The reasons unauthorized (401) and rate-limited (429) are new; the codecs accept reasons up to LastRefusalReason.

--- a/Libraries/LibExchange/Answer.cpp
+++ b/Libraries/LibExchange/Answer.cpp
@@ -62,22 +62,32 @@
     return "crashes-upstreams";
   case RefusalReason::HomeLost:
     return "home-lost";
+  case RefusalReason::Unauthorized:
+    return "unauthorized";
+  case RefusalReason::RateLimited:
+    return "rate-limited";
   }
   return "internal";
 }
 
 StatusCode statusOf(const Refusal &Refused) {
   constexpr StatusCode BadRequest(400);
+  constexpr StatusCode Unauthorized(401);
   constexpr StatusCode NotFound(404);
   constexpr StatusCode Conflict(409);
   constexpr StatusCode ContentTooLarge(413);
   constexpr StatusCode Unprocessable(422);
+  constexpr StatusCode TooManyRequests(429);
   constexpr StatusCode BadGateway(502);
   constexpr StatusCode Unavailable(503);
   constexpr StatusCode GatewayTimeout(504);
   switch (Refused.Reason_) {
   case RefusalReason::UnknownService:
     return NotFound;
+  case RefusalReason::Unauthorized:
+    return Unauthorized;
+  case RefusalReason::RateLimited:
+    return TooManyRequests;
   case RefusalReason::BadRequest:
   case RefusalReason::KeyInvalid:
     return BadRequest;
--- a/Libraries/LibExchange/Answer.h
+++ b/Libraries/LibExchange/Answer.h
@@ -46,8 +46,15 @@
   AnswerNotStored,
   CrashesUpstreams,
   HomeLost,
+  /// The request has no key that a team of the configuration in force has.
+  Unauthorized,
+  /// The request exceeds the limit of its team.
+  RateLimited,
 };
 
+/// Codecs accept reasons up to this one.
+inline constexpr RefusalReason LastRefusalReason = RefusalReason::RateLimited;
+
 /// Final result of a request that gets no response of an upstream.
 struct Refusal {
   Outcome Outcome_ = Outcome::Unknown;
--- a/Libraries/LibExchange/Request.h
+++ b/Libraries/LibExchange/Request.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibCore/TeamName.h>
 #include <LibCore/Time.h>
+#include <LibExchange/Credential.h>
 
 #include <memory>
 #include <optional>
@@ -43,6 +45,14 @@
   /// Time at which the caller stops waiting, if it gave one.
   std::optional<TimePoint> Deadline_;
   std::optional<IdempotencyKeyText> Key_;
+  /// Key of the caller; none if it sent none or a malformed one.
+  std::optional<Credential> Credential_;
+  /// Header fields with the key or a team, as received. They are not part of
+  /// Headers_, and only a gateway whose configuration has no teams puts them
+  /// back. Must not be logged.
+  std::vector<Header> IdentityHeaders_;
+  /// Team that the key identified; sent to the upstream.
+  std::optional<TeamName> Team_;
 };
 
 /// Hash of the service, method, target and body; equal for equal requests.
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -77,8 +77,17 @@
       hostNameOf(Received.Authority_),
       std::string_view(Received.Target_).substr(0, Received.Target_.find('?')));
   if (!Matched)
-    return refuseNew(Received, RefusalReason::UnknownService, Out);
+    return refuseNew(
+        Received,
+        ControlContact_.confirmedReason(RefusalReason::UnknownService, Now),
+        Out);
+  const CallerAuthentication Caller(Routes_->teams(), *Matched, Received);
+  if (Caller.isRefused())
+    return refuseNew(
+        Received,
+        ControlContact_.confirmedReason(RefusalReason::Unauthorized, Now), Out);
   auto Routed = std::make_shared<Request>(Received);
+  Caller.identify(*Routed);
   Routed->Service_ = chooseService(*Matched);
   TimePoint Deadline = Now + Matched->Profile_.patience();
   if (Received.Deadline_)
@@ -86,6 +95,8 @@
   RequestExecution Execution(std::move(Routed), Matched->Profile_, Deadline);
   Execution.limitAttempts(Matched->Values_.MaxAttempts_);
   Execution.setRoute(Matched->Values_.Name_);
+  if (const Team *Owner = Caller.team(); Owner && Owner->Priority_)
+    Execution.setWeight(classWeightOf(*Owner->Priority_));
   open(Incoming, std::move(Execution), Now, Out);
 }
 
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibCore/DecisionRole.h>
+#include <LibRouting/CallerAuthentication.h>
+#include <LibRouting/ControlContact.h>
 #include <LibRouting/GatewaySettings.h>
 #include <LibRouting/RequestDispatcher.h>
 
@@ -71,6 +73,9 @@
     Dispatcher_.addGrantedRetries(Incoming);
   }
   void on(const DrainStarted &Incoming, TimePoint Now, Effects &Out);
+  void on(const ControlContactChanged &Incoming, TimePoint Now, Effects &) {
+    ControlContact_.update(Incoming.IsConfirmed_, Now);
+  }
 
   /// Admits or refuses a request whose service and profile are known.
   void open(const RequestReceived &Incoming, RequestExecution NewExecution,
@@ -104,6 +109,7 @@
 
   std::deque<HeldRequest> HeldRequests_;
   std::shared_ptr<const RoutingTable> Routes_;
+  ControlContact ControlContact_;
   Random Random_;
 };
 
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -48,6 +48,12 @@
   std::shared_ptr<const RoutingTable> Table_;
 };
 
+/// A control member confirmed that the configuration is the one in force, or
+/// none does so any more.
+struct ControlContactChanged {
+  bool IsConfirmed_ = false;
+};
+
 /// An instance was added, or its record changed.
 struct InstanceChanged {
   InstanceRecord Record_;
@@ -129,7 +135,8 @@
     std::variant<RequestReceived, CallerDisconnected, AttemptFinished,
                  CatalogChanged, RoutingChanged, InstanceChanged, LoadReported,
                  EjectionsChanged, FingerprintsQuarantined, ClaimDecided,
-                 HomesChanged, ForwardAnswered, RetriesGranted, DrainStarted>;
+                 HomesChanged, ForwardAnswered, RetriesGranted, DrainStarted,
+                 ControlContactChanged>;
 
 // Effects: commands to the host of the gateway.
 
--- a/Libraries/LibRouting/RequestExecution.h
+++ b/Libraries/LibRouting/RequestExecution.h
@@ -30,6 +30,11 @@
   }
   TimePoint deadline() const { return Deadline_; }
   ClassWeight weight() const { return Weight_; }
+  /// None if the configuration has no teams, and for public routes also if the
+  /// key is unknown.
+  const std::optional<TeamName> &team() const { return Request_->Team_; }
+  /// Replaces the weight of the route.
+  void setWeight(ClassWeight Weight) { Weight_ = Weight; }
   /// Empty for a request that names its service.
   const RouteName &route() const { return Route_; }
   void setRoute(RouteName Route) { Route_ = std::move(Route); }
