LibHTTP: Take the caller's key and team out of the headers

The header fields that HeaderDialect names as credential and team are moved out of the header list when a request is parsed, so that neither reaches an instance unless the gateway puts them back. A single Bearer token becomes the credential of the request; other forms are unknown keys. The upstream client writes the team header, and a 401 has WWW-Authenticate (RFC 9110, section 15.5.2).

--- a/Libraries/LibHTTP/CallerListener.cpp
+++ b/Libraries/LibHTTP/CallerListener.cpp
@@ -226,6 +226,9 @@
       Response Problem;
       Problem.Status_ = statusOf(*Refused);
       Problem.Headers_.push_back({"Content-Type", ProblemContentType});
+      // RFC 9110, section 15.5.2.
+      if (Refused->Reason_ == RefusalReason::Unauthorized)
+        Problem.Headers_.push_back({"WWW-Authenticate", "Bearer"});
       if (Refused->RetryAfter_)
         Problem.Headers_.push_back(
             {"Retry-After",
--- a/Libraries/LibHTTP/HeaderDialect.h
+++ b/Libraries/LibHTTP/HeaderDialect.h
@@ -37,6 +37,12 @@
   /// Response header with the number of running and of waiting requests of the
   /// upstream, separated by a comma.
   std::string Load_;
+  /// Request header with the caller's key: the scheme `Bearer` and a token (RFC
+  /// 6750). Removed from the headers of a request together with Team_. Applies
+  /// with HostAndPath only, like Team_.
+  std::string Credential_;
+  /// Request header with the name of the caller's team.
+  std::string Team_;
   /// Whether `Retry-After` may contain fractions of a second.
   bool HasFractionalRetryAfter_ = false;
 };
--- a/Libraries/LibHTTP/RequestParser.cpp
+++ b/Libraries/LibHTTP/RequestParser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 
 namespace jaybridge {
 
@@ -57,6 +58,40 @@
       }));
 }
 
+/// Token of a `Bearer` credential (RFC 6750, section 2.1).
+std::optional<Credential> parseCredential(std::string_view Value) {
+  constexpr std::string_view Scheme = "Bearer";
+  if (!isSameHeaderName(Value.substr(0, Scheme.size()), Scheme))
+    return std::nullopt;
+  Value.remove_prefix(Scheme.size());
+  const std::size_t Start = Value.find_first_not_of(' ');
+  if (Start == 0 || Start == std::string_view::npos)
+    return std::nullopt;
+  Value.remove_prefix(Start);
+  Value = Value.substr(0, Value.find_last_not_of(" \t") + 1);
+  if (Value.empty() || Value.find_first_of(" \t") != std::string_view::npos)
+    return std::nullopt;
+  return Credential(std::string(Value));
+}
+
+/// Moves the header fields with the caller's key or team out of Headers_.
+void takeIdentity(Request &Parsed, const HeaderDialect &Dialect) {
+  auto IsOther = [&](const Header &Field) {
+    return !isSameHeaderName(Field.Name_, Dialect.Credential_) &&
+           !isSameHeaderName(Field.Name_, Dialect.Team_);
+  };
+  const auto FirstMoved = std::stable_partition(Parsed.Headers_.begin(),
+                                                Parsed.Headers_.end(), IsOther);
+  Parsed.IdentityHeaders_.assign(
+      std::make_move_iterator(FirstMoved),
+      std::make_move_iterator(Parsed.Headers_.end()));
+  Parsed.Headers_.erase(FirstMoved, Parsed.Headers_.end());
+  // Which of two keys counts must not depend on their order.
+  if (countHeaders(Parsed.IdentityHeaders_, Dialect.Credential_) == 1)
+    Parsed.Credential_ = parseCredential(
+        findHeader(Parsed.IdentityHeaders_, Dialect.Credential_)->Value_);
+}
+
 } // namespace
 
 std::variant<Request, Refusal>
@@ -121,6 +156,8 @@
            isSameHeaderName(Field.Name_, Dialect.CallerRequestId_) ||
            isSameHeaderName(Field.Name_, Dialect.ExpectedInstance_);
   });
+  if (!IsServiceInPath)
+    takeIdentity(Parsed, Dialect);
   Parsed.Body_ = std::make_shared<const std::string>(std::move(Received.Body_));
   return Parsed;
 }
--- a/Libraries/LibHTTP/UpstreamTransfer.cpp
+++ b/Libraries/LibHTTP/UpstreamTransfer.cpp
@@ -126,6 +126,8 @@
   if (!Dialect_.ExpectedInstance_.empty() && !Attempt_.Instance_.isEmpty())
     appendHeader(RequestHeaders_,
                  Dialect_.ExpectedInstance_ + ": " + Attempt_.Instance_.text());
+  if (!Dialect_.Team_.empty() && Sent.Team_)
+    appendHeader(RequestHeaders_, Dialect_.Team_ + ": " + Sent.Team_->text());
   appendHeader(RequestHeaders_,
                Dialect_.Deadline_ + ": " +
                    std::to_string(std::chrono::floor<std::chrono::milliseconds>(
--- a/Tests/LibHTTP/TestHeaderDialect.cpp
+++ b/Tests/LibHTTP/TestHeaderDialect.cpp
@@ -21,6 +21,8 @@
   Dialect.NotRunValue_ = "";
   Dialect.Signature_ = "X-Signed";
   Dialect.Load_ = "X-Load";
+  Dialect.Credential_ = "X-Key";
+  Dialect.Team_ = "X-Team";
   return Dialect;
 }
 
@@ -49,6 +51,7 @@
   Sent->Method_ = "GET";
   Sent->Target_ = "/a?b";
   Sent->Headers_ = {{"Host", "h.example"}};
+  Sent->Team_ = TeamName("t1");
   Sent->Body_ = std::make_shared<const std::string>();
   ASSERT_TRUE(Client.start({AttemptId(1), InstanceId("i-7"), Upstream.address(),
                             Sent, monotonicNow() + 20s}));
@@ -57,7 +60,7 @@
   std::string Received = Connection->readUntil("\r\n\r\n");
   for (const char *Line :
        {"GET /a?b HTTP/1.1\r\n", "Host: h.example\r\n", "X-Attempt: outer\r\n",
-        "X-Meant: i-7\r\n", "X-Left: "})
+        "X-Meant: i-7\r\n", "X-Team: t1\r\n", "X-Left: "})
     EXPECT_NE(Received.find(Line), std::string::npos) << Received;
   Connection->send(GetParam().Response_);
   Connection.reset();
@@ -141,5 +144,53 @@
                                                   {"X-Other", "kept"}}));
 }
 
+struct CredentialCase {
+  const char *Name_;
+  std::vector<Header> Fields_;
+  /// Empty if the key is missing or malformed.
+  std::string Key_;
+};
+
+class CredentialTest : public testing::TestWithParam<CredentialCase> {};
+
+// Guards against a malformed credential that is accepted, and against header
+// fields with a key or team that stay among those for the upstream.
+TEST_P(CredentialTest, IsTakenOutOfTheHeaders) {
+  RawHTTPRequest Received;
+  Received.Target_ = "/a";
+  Received.Headers_ = {{"X-Other", "kept"}};
+  Received.Headers_.insert(Received.Headers_.end(), GetParam().Fields_.begin(),
+                           GetParam().Fields_.end());
+  auto Result = parseRequest(RequestId("inner"), std::move(Received),
+                             ByteCount(100), testDialect(), TimePoint{});
+  ASSERT_TRUE(std::holds_alternative<Request>(Result));
+  const Request &Parsed = std::get<Request>(Result);
+  EXPECT_EQ(Parsed.Headers_, (std::vector<Header>{{"X-Other", "kept"}}));
+  EXPECT_EQ(Parsed.IdentityHeaders_, GetParam().Fields_);
+  ASSERT_EQ(Parsed.Credential_.has_value(), !GetParam().Key_.empty());
+  if (Parsed.Credential_) {
+    EXPECT_TRUE(Parsed.Credential_->isSameAs(Credential(GetParam().Key_)));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields, CredentialTest,
+    testing::Values(
+        CredentialCase{"None", {}, ""},
+        CredentialCase{"Key", {{"X-Key", "Bearer k1"}}, "k1"},
+        CredentialCase{"OtherCase", {{"x-key", "bearer k1"}}, "k1"},
+        CredentialCase{"MoreSpace", {{"X-Key", "Bearer   k1 "}}, "k1"},
+        CredentialCase{"OtherScheme", {{"X-Key", "Basic k1"}}, ""},
+        CredentialCase{"NoScheme", {{"X-Key", "k1"}}, ""},
+        CredentialCase{"NoSpace", {{"X-Key", "Bearerk1"}}, ""},
+        CredentialCase{"NoToken", {{"X-Key", "Bearer"}}, ""},
+        CredentialCase{"OnlySpace", {{"X-Key", "Bearer  "}}, ""},
+        CredentialCase{"TwoTokens", {{"X-Key", "Bearer k1 k2"}}, ""},
+        CredentialCase{"Empty", {{"X-Key", ""}}, ""},
+        CredentialCase{
+            "GivenTwice", {{"X-Key", "Bearer k1"}, {"x-key", "Bearer k1"}}, ""},
+        CredentialCase{"Team", {{"X-Team", "t2"}}, ""}),
+    CaseName());
+
 } // namespace
 } // namespace jaybridge
