LibHTTP: Receive callers' requests within a memory budget

Bytes count as they arrive. When they exceed the limit, the largest stalled incomplete body is cut off. Lengths above the limit are refused at the head. Requests behind others on a connection are passed on only when they are GET or HEAD and so are those in front of them; the gateway answers AwaitsTurn when their route is not repeatable. The threshold for separate mappings of malloc is fixed, so that freed bodies return to the system.

--- a/Libraries/LibExchange/Answer.cpp
+++ b/Libraries/LibExchange/Answer.cpp
@@ -62,6 +62,10 @@
     return "crashes-upstreams";
   case RefusalReason::HomeLost:
     return "home-lost";
+  case RefusalReason::ReceiveTimeout:
+    return "receive-timeout";
+  case RefusalReason::AwaitsTurn:
+    return "awaits-turn";
   }
   return "internal";
 }
@@ -69,6 +73,7 @@
 StatusCode statusOf(const Refusal &Refused) {
   constexpr StatusCode BadRequest(400);
   constexpr StatusCode NotFound(404);
+  constexpr StatusCode RequestTimeout(408);
   constexpr StatusCode Conflict(409);
   constexpr StatusCode ContentTooLarge(413);
   constexpr StatusCode Unprocessable(422);
@@ -85,6 +90,8 @@
     return Unprocessable;
   case RefusalReason::BodyTooLarge:
     return ContentTooLarge;
+  case RefusalReason::ReceiveTimeout:
+    return RequestTimeout;
   case RefusalReason::InProgress:
   case RefusalReason::AnswerNotStored:
     return Conflict;
--- a/Libraries/LibExchange/Answer.h
+++ b/Libraries/LibExchange/Answer.h
@@ -46,6 +46,11 @@
   AnswerNotStored,
   CrashesUpstreams,
   HomeLost,
+  /// The request did not arrive within the time limits.
+  ReceiveTimeout,
+  /// A pipelined request that is not repeatable; the listener passes it on
+  /// again when the earlier requests of its connection are answered.
+  AwaitsTurn,
 };
 
 /// Final result of a request that gets no response of an upstream.
--- a/Libraries/LibExchange/Request.h
+++ b/Libraries/LibExchange/Request.h
@@ -43,6 +43,9 @@
   /// Time at which the caller stops waiting, if it gave one.
   std::optional<TimePoint> Deadline_;
   std::optional<IdempotencyKeyText> Key_;
+  /// Whether earlier requests of the same connection are not answered yet. Such
+  /// a request is run only if it is repeatable.
+  bool IsPipelined_ = false;
 };
 
 /// Hash of the service, method, target and body; equal for equal requests.
--- a/Libraries/LibHTTP/CallerListener.h
+++ b/Libraries/LibHTTP/CallerListener.h
@@ -7,6 +7,7 @@
 #include <LibExchange/Request.h>
 #include <LibHTTP/HeaderDialect.h>
 
+#include <array>
 #include <functional>
 #include <memory>
 
@@ -21,6 +22,8 @@
   WallTime StartedAt_;
   ByteCount BodyLimit_{1024UL * 1024};
   ConnectionCount MaxConnections_{4096};
+  /// Bytes of all requests together that are not answered yet.
+  ByteCount ReceiveLimit_{128UL * 1024 * 1024};
   HeaderDialect Dialect_{};
 };
 
@@ -31,8 +34,33 @@
   std::function<bool(std::shared_ptr<const Request>)> Received_;
   /// The caller closed its connection before its request was answered.
   std::function<void(RequestId)> Disconnected_;
+  /// The memory for requests has become short, or free again. May be empty.
+  std::function<void(bool IsShort)> BudgetChanged_{};
 };
 
+/// What the listener counts.
+enum class CallerEvent {
+  Received,
+  Refused,
+  Disconnected,
+  UndeliveredAnswer,
+  Malformed,
+  BodyTooLarge,
+  /// Requests that did not fit into the memory for requests.
+  BudgetRefused,
+  /// Incomplete requests that were cut off to free memory.
+  BudgetCutOff,
+  HeadTimeout,
+  BodyTimeout,
+  /// Connections whose caller did not read its responses.
+  WriteStalled,
+  /// Idle connections that were closed in favour of new ones.
+  IdleClosed,
+  AcceptFailed,
+};
+inline constexpr std::size_t CallerEventCount =
+    static_cast<std::size_t>(CallerEvent::AcceptFailed) + 1;
+
 struct CallerListenerCounts {
   EventCount Received_;
   /// Requests that the listener itself refused: malformed, too large, or
@@ -42,6 +70,12 @@
   EventCount Disconnected_;
   /// Answers that arrived after their caller had disconnected.
   EventCount UndeliveredAnswers_;
+  /// All counts, indexed by CallerEvent.
+  std::array<EventCount, CallerEventCount> Events_;
+
+  EventCount of(CallerEvent Event) const {
+    return Events_[static_cast<std::size_t>(Event)];
+  }
 };
 
 /// HTTP/1.1 server for callers, which runs on its own thread. Connections are
--- a/Libraries/LibHTTP/ControlListener.cpp
+++ b/Libraries/LibHTTP/ControlListener.cpp
@@ -15,8 +15,9 @@
 
 /// Bounds how long a connection stays open when a handler never replies.
 constexpr auto HandlingTimeout = std::chrono::seconds(60);
-/// Bodies up to this multiple of the limit are answered with 413; see
-/// CallerListener.cpp.
+/// RESTinio closes the connection without a response when its own body limit is
+/// exceeded. Its limit is therefore this multiple of the configured one, so
+/// that moderately oversized bodies are read and answered with 413.
 constexpr std::uint64_t BodyReadLimitFactor = 4;
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr const char *MetricsContentType =
--- a/Libraries/LibHTTP/ProblemDocument.cpp
+++ b/Libraries/LibHTTP/ProblemDocument.cpp
@@ -27,6 +27,8 @@
     return "Not Found";
   case 405:
     return "Method Not Allowed";
+  case 408:
+    return "Request Timeout";
   case 409:
     return "Conflict";
   case 413:
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -122,6 +122,8 @@
   if (NewExecution.deadline() <= Now)
     return refuseNew(NewExecution.request(), RefusalReason::DeadlinePassed,
                      Out);
+  if (NewExecution.request().IsPipelined_ && !NewExecution.isRepeatable())
+    return refuseNew(NewExecution.request(), RefusalReason::AwaitsTurn, Out);
   if (Dispatcher_.requestCount() >= Settings_.MaxRequests_.value() &&
       !Dispatcher_.shedLowerWeight(NewExecution.weight(), Now, Out))
     return refuseNew(NewExecution.request(), RefusalReason::Overloaded, Out);
--- a/Libraries/LibSettings/Flags.cpp
+++ b/Libraries/LibSettings/Flags.cpp
@@ -37,6 +37,12 @@
 DEFINE_string(peer_token_file, "", "file with the access token of peers");
 DEFINE_string(body_limit_bytes, "", "maximum size of a request body");
 DEFINE_string(answer_limit_bytes, "", "maximum size of a response body");
+DEFINE_string(receive_limit_bytes, "",
+              "maximum bytes of all requests that are not answered yet");
+DEFINE_string(memory_limit_mb, "",
+              "memory of the process, from which other limits follow");
+DEFINE_string(caller_connections_limit, "",
+              "maximum number of connections of callers");
 DEFINE_string(queue_limit, "",
               "maximum number of requests waiting in one queue");
 DEFINE_string(
@@ -72,6 +78,9 @@
                                      "peer-token-file",
                                      "body-limit-bytes",
                                      "answer-limit-bytes",
+                                     "receive-limit-bytes",
+                                     "memory-limit-mb",
+                                     "caller-connections-limit",
                                      "queue-limit",
                                      "retry-allowance",
                                      "log-level",
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -30,6 +30,14 @@
                                         1073741824};
 constexpr NumberRange AnswerLimitRange = {"answer-limit-bytes", 4194304, 1024,
                                           1073741824};
+/// 0 stands for a value that follows from the memory limit.
+constexpr NumberRange ReceiveLimitRange = {"receive-limit-bytes", 0, 0,
+                                           1099511627776};
+/// 0 stands for an unknown amount of memory.
+constexpr NumberRange MemoryLimitRange = {"memory-limit-mb", 0, 0, 1048576};
+/// 0 stands for a value that follows from the limit of descriptors.
+constexpr NumberRange CallerConnectionsRange = {"caller-connections-limit", 0,
+                                                0, 1000000};
 constexpr NumberRange SeedPeerPortRange = {"seed-peer-port", 0, 0, 65535};
 constexpr NumberRange ShutdownGracePeriodRange = {"grace-ms", 300000, 100,
                                                   86400000};
@@ -171,6 +179,25 @@
   std::optional<Error> FirstError_;
 };
 
+constexpr std::uint64_t Mebibyte = 1024UL * 1024;
+
+/// Bytes that requests may hold together. 44 MB of the process's memory remain
+/// for everything else, among it responses that wait to be written.
+ByteCount readReceiveLimit(SettingsReader &Reader) {
+  constexpr std::uint64_t MemoryOfTheRest = 44;
+  constexpr std::uint64_t MinDefault = 16;
+  constexpr std::uint64_t DefaultWithoutMemoryLimit = 128;
+  const std::uint64_t MemoryLimit = Reader.readNumber(MemoryLimitRange);
+  if (std::uint64_t Limit = Reader.readNumber(ReceiveLimitRange); Limit > 0)
+    return ByteCount(std::max(Limit, Mebibyte));
+  if (MemoryLimit == 0)
+    return ByteCount(DefaultWithoutMemoryLimit * Mebibyte);
+  return ByteCount(
+      std::max(MinDefault,
+               MemoryLimit - std::min(MemoryLimit, MemoryOfTheRest)) *
+      Mebibyte);
+}
+
 void checkDutySettings(SettingsReader &Reader, const Settings &Parsed) {
   if (Parsed.Duty_ == DaemonDuty::Control && !Parsed.DataFolder_)
     Reader.recordError(
@@ -226,6 +253,9 @@
   }
   Parsed.BodyLimit_ = ByteCount(Reader.readNumber(BodyLimitRange));
   Parsed.AnswerLimit_ = ByteCount(Reader.readNumber(AnswerLimitRange));
+  Parsed.ReceiveLimit_ = readReceiveLimit(Reader);
+  if (auto Limit = Reader.readNumber(CallerConnectionsRange); Limit > 0)
+    Parsed.CallerConnectionsLimit_ = EventCount(Limit);
   Parsed.QueueLimit_ = QueueLimit(
       static_cast<std::uint32_t>(Reader.readNumber(QueueLimitRange)));
   Parsed.RetryAllowance_ = EventCount(Reader.readNumber(RetryAllowanceRange));
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -62,6 +62,11 @@
   std::string PeerTokenFile_;
   ByteCount BodyLimit_;
   ByteCount AnswerLimit_;
+  /// Bytes of all requests together that are not answered yet.
+  ByteCount ReceiveLimit_;
+  /// Most connections of callers; none if it follows from the limit of
+  /// descriptors.
+  std::optional<EventCount> CallerConnectionsLimit_;
   QueueLimit QueueLimit_;
   /// Retries of a service that the whole fleet may make in ten seconds beyond a
   /// share of its requests.
--- a/Services/jaybridged/Daemon.cpp
+++ b/Services/jaybridged/Daemon.cpp
@@ -102,10 +102,7 @@
   JAYBRIDGE_TRY_STATUS(startFleet(DaemonSettings));
   JAYBRIDGE_TRY_STATUS(startAuthority(DaemonSettings));
   RequestPathOptions PathOptions;
-  PathOptions.Callers_.Address_ = DaemonSettings.CallerAddress_;
-  PathOptions.Callers_.Member_ = DaemonSettings.Member_;
-  PathOptions.Callers_.StartedAt_ = wallNow();
-  PathOptions.Callers_.BodyLimit_ = DaemonSettings.BodyLimit_;
+  PathOptions.Callers_ = callerListenerOptions(DaemonSettings);
   PathOptions.Upstreams_.AnswerLimit_ = DaemonSettings.AnswerLimit_;
   PathOptions.Gateway_.Self_ = DaemonSettings.Member_;
   PathOptions.Gateway_.Domain_ = DaemonSettings.Domain_;
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -96,10 +96,7 @@
 Status GatewayDaemon::start(const Settings &DaemonSettings) {
   JAYBRIDGE_TRY_STATUS(Peers_.start(DaemonSettings));
   RequestPathOptions PathOptions;
-  PathOptions.Callers_.Address_ = DaemonSettings.CallerAddress_;
-  PathOptions.Callers_.Member_ = DaemonSettings.Member_;
-  PathOptions.Callers_.StartedAt_ = wallNow();
-  PathOptions.Callers_.BodyLimit_ = DaemonSettings.BodyLimit_;
+  PathOptions.Callers_ = callerListenerOptions(DaemonSettings);
   PathOptions.Callers_.Dialect_ = platform::headerDialect();
   PathOptions.Upstreams_.AnswerLimit_ = DaemonSettings.AnswerLimit_;
   PathOptions.Upstreams_.Dialect_ = platform::headerDialect();
@@ -166,6 +163,10 @@
                 {"method", Received.Method_},
                 {"target", Received.Target_}});
   };
+  Sinks.ReceiveBudgetChanged_ = [this](bool IsShort) {
+    Log_.writeStateChange(LogLevel::Warning, "receive-memory",
+                          IsShort ? "short" : "free");
+  };
   return Sinks;
 }
 
@@ -275,6 +276,9 @@
   Set("jaybridge_requests_refused_unknown", Counts.RefusedUnknown_);
   Set("jaybridge_log_lines_dropped", Log_.droppedLineCount());
   Set("jaybridge_configuration_version", EventCount(AppliedVersion_));
+  for (const auto &[Name, Count] :
+       callerMetrics(RequestPath_->callers().counts()))
+    Set(Name.c_str(), Count);
   const UpstreamClientCounts Upstreams = RequestPath_->upstreams().counts();
   Set("jaybridge_upstream_responses_misattributed", Upstreams.Misattributed_);
   Set("jaybridge_upstream_responses_too_large", Upstreams.TooLarge_);
--- a/Services/jaybridged/ProcessStart.h
+++ b/Services/jaybridged/ProcessStart.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <LibCore/Random.h>
+#include <LibHTTP/CallerListener.h>
 #include <LibSettings/Settings.h>
 
 #include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace jaybridge {
 
@@ -14,4 +18,11 @@
 /// Random seed that differs between members, process starts and purposes.
 RandomSeed randomSeed(const Settings &DaemonSettings, std::uint64_t Purpose);
 
+/// Options of the caller listener.
+CallerListenerOptions callerListenerOptions(const Settings &DaemonSettings);
+
+/// Name and value of each counter of the caller listener, for metrics.
+std::vector<std::pair<std::string, EventCount>>
+callerMetrics(const CallerListenerCounts &Counts);
+
 } // namespace jaybridge
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -37,6 +37,10 @@
   ListenerCallbacks.Disconnected_ = [&Self](RequestId Id) {
     Self.post(CallerDisconnected{std::move(Id)});
   };
+  ListenerCallbacks.BudgetChanged_ = [&Self](bool IsShort) {
+    if (Self.Sinks_.ReceiveBudgetChanged_)
+      Self.Sinks_.ReceiveBudgetChanged_(IsShort);
+  };
   JAYBRIDGE_TRY(
       Self.Callers_,
       CallerListener::create(Options.Callers_, std::move(ListenerCallbacks)));
@@ -181,6 +185,8 @@
   const auto *AsRefusal = std::get_if<Refusal>(&Counted);
   if (AsRefusal == nullptr)
     ++Counters_.Answered_;
+  else if (AsRefusal->Reason_ == RefusalReason::AwaitsTurn)
+    return; // Not an answer to the caller.
   else if (AsRefusal->Outcome_ == Outcome::NotRun)
     ++Counters_.RefusedNotRun_;
   else if (AsRefusal->Outcome_ == Outcome::Ran)
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -36,6 +36,8 @@
   std::function<void(RecordStep)> Record_;
   /// Called for each request that arrives from a caller; may be empty.
   std::function<void(const Request &)> Received_;
+  /// The memory for requests has become short, or free again; may be empty.
+  std::function<void(bool IsShort)> ReceiveBudgetChanged_;
 };
 
 /// Answers since the start, by outcome.
--- a/Services/jaybridged/main.cpp
+++ b/Services/jaybridged/main.cpp
@@ -2,6 +2,7 @@
 #include <Daemon.h>
 #include <GatewayDaemon.h>
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -108,6 +109,11 @@
     std::puts("settings are valid");
     return static_cast<int>(ExitCode::Success);
   }
+  // Bodies above this size get their own mapping, whose pages exist only once
+  // they are written and return to the system when it is freed. Without a fixed
+  // value glibc raises the threshold up to 32 MiB as bodies are freed.
+  constexpr int MappingThreshold = 128 * 1024;
+  ::mallopt(M_MMAP_THRESHOLD, MappingThreshold);
   // The signals are blocked before any thread starts, so that only sigwait()
   // receives them.
   sigset_t StopSignals;
--- a/Tests/LibRouting/TestRoutedRequests.cpp
+++ b/Tests/LibRouting/TestRoutedRequests.cpp
@@ -6,7 +6,8 @@
 namespace {
 
 std::shared_ptr<const RoutingTable>
-makeRoutingTable(AttemptCount Attempts, std::vector<WeightedService> Parts) {
+makeRoutingTable(AttemptCount Attempts, std::vector<WeightedService> Parts,
+                 Repeatability Repeats = Repeatability::Repeatable) {
   RoutingDraft Draft;
   Draft.Version_ = ConfigurationVersion(2);
   for (const WeightedService &Part : Parts)
@@ -16,7 +17,7 @@
   Route.Host_ = HostName("a.example");
   Route.Prefix_ = "/p/";
   Route.WeightedServices_ = std::move(Parts);
-  Route.Repeatability_ = Repeatability::Repeatable;
+  Route.Repeatability_ = Repeats;
   Route.Patience_ = 2s;
   Route.MaxAttempts_ = Attempts;
   Draft.Routes_ = {std::move(Route)};
@@ -83,6 +84,42 @@
   EXPECT_EQ(Harness_.refusal()->Reason_, RefusalReason::UnknownService);
 }
 
+struct PipelinedCase {
+  const char *Name_;
+  Repeatability Repeats_;
+  bool IsPipelined_;
+  bool AwaitsTurn_;
+};
+
+class PipelinedRequestTest : public RoutedRequestsTest,
+                             public testing::WithParamInterface<PipelinedCase> {
+};
+
+// Guards against an action that runs before the response to an earlier request
+// of its connection, which may still close the connection.
+TEST_P(PipelinedRequestTest, AwaitsItsTurnUnlessItIsRepeatable) {
+  Harness_.handle(RoutingChanged{
+      makeRoutingTable(AttemptCount(2), {WeightedService{ServiceName("s")}},
+                       GetParam().Repeats_)});
+  auto Marked = std::make_shared<Request>(*makeRequest("q", "/p/x").Request_);
+  Marked->IsPipelined_ = GetParam().IsPipelined_;
+  Harness_.handle(RequestReceived{Marked, false});
+  const Refusal *Refused = Harness_.refusal();
+  ASSERT_EQ(Refused != nullptr, GetParam().AwaitsTurn_);
+  EXPECT_EQ(Harness_.last<SendAttempt>() == nullptr, GetParam().AwaitsTurn_);
+  if (Refused != nullptr) {
+    EXPECT_EQ(Refused->Reason_, RefusalReason::AwaitsTurn);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Routes, PipelinedRequestTest,
+    testing::Values(
+        PipelinedCase{"Safe", Repeatability::Repeatable, true, false},
+        PipelinedCase{"Action", Repeatability::AtMostOnce, true, true},
+        PipelinedCase{"FirstAction", Repeatability::AtMostOnce, false, false}),
+    CaseName());
+
 struct AttemptLimitCase {
   const char *Name_;
   AttemptCount Limit_;
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -67,6 +67,11 @@
                      "a whole number"},
         SettingsCase{"BodyWithUnit", "answer-limit-bytes", "4MB",
                      "a whole number"},
+        SettingsCase{"ReceiveLimit", "receive-limit-bytes", "16777216", ""},
+        SettingsCase{"MemoryWithUnit", "memory-limit-mb", "112MB",
+                     "a whole number"},
+        SettingsCase{"TooManyConnections", "caller-connections-limit",
+                     "1000001", "from 0 to 1000000"},
         SettingsCase{"NoQueue", "queue-limit", "0", "from 1 to 1000000"},
         SettingsCase{"NoAllowance", "retry-allowance", "0", ""},
         SettingsCase{"AllowanceTooGreat", "retry-allowance", "1000001",
@@ -78,6 +83,32 @@
         SettingsCase{"NotAMember", "control-members", "m2", ""}),
     CaseName());
 
+struct ReceiveLimitCase {
+  const char *Name_;
+  const char *MemoryLimit_;
+  const char *ReceiveLimit_;
+  std::uint64_t Mebibytes_;
+};
+
+class ReceiveLimitTest : public testing::TestWithParam<ReceiveLimitCase> {};
+
+// Guards against requests that may hold more memory than the process has.
+TEST_P(ReceiveLimitTest, FollowsFromTheMemoryLimit) {
+  SettingValues Values = validValues();
+  Values["memory-limit-mb"] = GetParam().MemoryLimit_;
+  Values["receive-limit-bytes"] = GetParam().ReceiveLimit_;
+  EXPECT_EQ(Settings::create(Values).takeValue().ReceiveLimit_,
+            ByteCount(GetParam().Mebibytes_ * 1024 * 1024));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, ReceiveLimitTest,
+    testing::Values(ReceiveLimitCase{"None", "", "", 128},
+                    ReceiveLimitCase{"Small", "112", "", 68},
+                    ReceiveLimitCase{"Least", "40", "", 16},
+                    ReceiveLimitCase{"Explicit", "112", "2097152", 2}),
+    CaseName());
+
 // Guards against a daemon that has a data folder but is missing from the list
 // of control members, so that the other members do not know it.
 TEST(SettingsTest, RejectsADataFolderForAnUnlistedControlMember) {
