--- a/Libraries/LibExchange/Answer.cpp
+++ b/Libraries/LibExchange/Answer.cpp
@@ -66,6 +66,10 @@
     return "unauthorized";
   case RefusalReason::RateLimited:
     return "rate-limited";
+  case RefusalReason::ReceiveTimeout:
+    return "receive-timeout";
+  case RefusalReason::AwaitsTurn:
+    return "awaits-turn";
   }
   return "internal";
 }
@@ -74,6 +78,7 @@
   constexpr StatusCode BadRequest(400);
   constexpr StatusCode Unauthorized(401);
   constexpr StatusCode NotFound(404);
+  constexpr StatusCode RequestTimeout(408);
   constexpr StatusCode Conflict(409);
   constexpr StatusCode ContentTooLarge(413);
   constexpr StatusCode Unprocessable(422);
@@ -95,6 +100,8 @@
     return Unprocessable;
   case RefusalReason::BodyTooLarge:
     return ContentTooLarge;
+  case RefusalReason::ReceiveTimeout:
+    return RequestTimeout;
   case RefusalReason::InProgress:
   case RefusalReason::AnswerNotStored:
     return Conflict;
--- a/Libraries/LibExchange/Answer.h
+++ b/Libraries/LibExchange/Answer.h
@@ -50,10 +50,15 @@
   Unauthorized,
   /// The request exceeds the limit of its team.
   RateLimited,
+  /// The request did not arrive within the time limits.
+  ReceiveTimeout,
+  /// A pipelined request that is not repeatable; the listener passes it on
+  /// again when the earlier requests of its connection are answered.
+  AwaitsTurn,
 };
 
 /// Codecs accept reasons up to this one.
-inline constexpr RefusalReason LastRefusalReason = RefusalReason::RateLimited;
+inline constexpr RefusalReason LastRefusalReason = RefusalReason::AwaitsTurn;
 
 /// Final result of a request that gets no response of an upstream.
 struct Refusal {
--- a/Libraries/LibExchange/Request.h
+++ b/Libraries/LibExchange/Request.h
@@ -53,6 +53,9 @@
   std::vector<Header> IdentityHeaders_;
   /// Team that the key identified; sent to the upstream.
   std::optional<TeamName> Team_;
+  /// Whether earlier requests of the same connection are not answered yet. Such
+  /// a request is run only if it is repeatable.
+  bool IsPipelined_ = false;
 };
 
 /// Hash of the service, method, target and body; equal for equal requests.
