platform: Read teams and public routes from the document

The table Tenants becomes the teams of the routing table, and Public a field of the route. Fields of another type, rates or bursts below 0, empty names and keys and a key of two teams make the document invalid; the error never contains a key. A missing or null table means no teams. A route of kind download is repeatable like one of kind safe.

--- a/Tests/platform/TestConfigurationDocument.cpp
+++ b/Tests/platform/TestConfigurationDocument.cpp
@@ -107,7 +107,7 @@
 
 // Guards against requests that run twice because the kind of their route is
 // unknown and taken for a safe one.
-TEST_P(RouteKindTest, IsRepeatableOnlyWhenSafe) {
+TEST_P(RouteKindTest, IsRepeatableOnlyWhenKnownToBe) {
   auto Read = platform::ConfigurationDocument::read(documentWithRoutes(
       R"("r1":{"Host":"a.example","PathPrefix":"/a/","Kind":")" +
       GetParam().Kind_ +
@@ -122,10 +122,108 @@
 INSTANTIATE_TEST_SUITE_P(
     Kinds, RouteKindTest,
     testing::Values(RouteKindCase{"Safe", "safe", true},
+                    RouteKindCase{"Download", "download", true},
                     RouteKindCase{"Unsafe", "unsafe", false},
                     RouteKindCase{"Unknown", "other", false},
                     RouteKindCase{"Empty", "", false}),
     CaseName());
 
+std::string documentWithTeams(const std::string &Teams) {
+  return ValidDocument.substr(0, ValidDocument.size() - 1) + R"(,"Tenants":)" +
+         Teams + "}";
+}
+
+// Guards against fields of a team that are mixed up or lost.
+TEST(ConfigurationDocumentTest, ReadsTheFieldsOfATeam) {
+  auto Read = platform::ConfigurationDocument::read(documentWithTeams(
+      R"({"t1":{"ApiKeys":["k1","k2"],"Priority":1,"RatePerS":4.5,)"
+      R"("Burst":9},"t2":{"ApiKeys":["k3"]}})"));
+  ASSERT_TRUE(Read) << Read.error().Message_;
+  const TeamDirectory &Teams = Read.value().teams();
+  const Team *First = Teams.findByKey(Credential("k2"));
+  ASSERT_NE(First, nullptr);
+  EXPECT_EQ(First->Name_, TeamName("t1"));
+  EXPECT_EQ(First->Priority_, RoutePriority(1));
+  EXPECT_EQ(First->Limit_, (TeamLimit{RequestRate(4.5), RequestTokens(9)}));
+  const Team *Second = Teams.findByKey(Credential("k3"));
+  ASSERT_NE(Second, nullptr);
+  EXPECT_EQ(Second->Priority_, std::nullopt);
+  EXPECT_EQ(Second->Limit_, std::nullopt);
+}
+
+struct TeamsTextCase {
+  const char *Name_;
+  std::string Teams_;
+  bool IsValid_;
+};
+
+class TeamsTextTest : public testing::TestWithParam<TeamsTextCase> {};
+
+// Guards against a team that is read in part, and against an error that
+// contains a key.
+TEST_P(TeamsTextTest, IsRejectedUnlessEachFieldIsValid) {
+  auto Read = platform::ConfigurationDocument::read(
+      documentWithTeams(GetParam().Teams_));
+  ASSERT_EQ(Read.hasValue(), GetParam().IsValid_);
+  if (Read)
+    return;
+  EXPECT_EQ(Read.error().Code_, ErrorCode::Invalid);
+  EXPECT_EQ(Read.error().Message_.find("secret"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Texts, TeamsTextTest,
+    testing::Values(
+        TeamsTextCase{"None", "{}", true}, TeamsTextCase{"Null", "null", true},
+        TeamsTextCase{"NoFields", R"({"t":{}})", true},
+        TeamsTextCase{"List", "[]", false},
+        TeamsTextCase{"TeamIsText", R"({"t":"secret"})", false},
+        TeamsTextCase{"NoName", R"({"":{"ApiKeys":["secret"]}})", false},
+        TeamsTextCase{"KeysAreText", R"({"t":{"ApiKeys":"secret"}})", false},
+        TeamsTextCase{"KeyIsNumber", R"({"t":{"ApiKeys":[7]}})", false},
+        TeamsTextCase{"EmptyKey", R"({"t":{"ApiKeys":[""]}})", false},
+        TeamsTextCase{
+            "KeyOfTwoTeams",
+            R"({"t":{"ApiKeys":["secret"]},"u":{"ApiKeys":["secret"]}})",
+            false},
+        TeamsTextCase{"RateBelowZero", R"({"t":{"RatePerS":-1}})", false},
+        TeamsTextCase{"RateIsText", R"({"t":{"RatePerS":"1"}})", false},
+        TeamsTextCase{"BurstBelowZero", R"({"t":{"RatePerS":1,"Burst":-1}})",
+                      false},
+        TeamsTextCase{"PriorityBelowZero", R"({"t":{"Priority":-1}})", false},
+        TeamsTextCase{"PriorityIsText", R"({"t":{"Priority":"1"}})", false}),
+    CaseName());
+
+struct PublicCase {
+  const char *Name_;
+  std::string Field_;
+  /// None if the document is invalid.
+  std::optional<bool> IsPublic_;
+};
+
+class PublicRouteTest : public testing::TestWithParam<PublicCase> {};
+
+// Guards against a route that is open to callers without a key by mistake.
+TEST_P(PublicRouteTest, IsPublicOnlyWhenStated) {
+  auto Read =
+      platform::ConfigurationDocument::read(documentWithRoutes(routeWithFields(
+          GetParam().Field_ + R"("Service":"s1","MaxAttempts":2)")));
+  ASSERT_EQ(Read.hasValue(), GetParam().IsPublic_.has_value());
+  if (Read) {
+    EXPECT_EQ(
+        Read.value().find(HostName("a.example"), "/a/")->Values_.IsPublic_,
+        GetParam().IsPublic_);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields, PublicRouteTest,
+    testing::Values(PublicCase{"Absent", "", false},
+                    PublicCase{"True", R"("Public":true,)", true},
+                    PublicCase{"False", R"("Public":false,)", false},
+                    PublicCase{"Text", R"("Public":"false",)", std::nullopt},
+                    PublicCase{"Number", R"("Public":1,)", std::nullopt}),
+    CaseName());
+
 } // namespace
 } // namespace jaybridge
