LibRegistry: Include the log in RegistryRequests.h

The header uses ReplicatedLog and compiled only where an earlier include had declared it, so that TestLibRegistry did not build.

TestLibRegistry builds.

--- a/Libraries/LibRegistry/RegistryRequests.h
+++ b/Libraries/LibRegistry/RegistryRequests.h
@@ -3,6 +3,7 @@
 #include <LibRegistry/ControlMessages.h>
 #include <LibRegistry/ControlSettings.h>
 #include <LibRegistry/PendingDocument.h>
+#include <LibReplication/ReplicatedLog.h>
 
 #include <map>
 #include <utility>
