jaybridged: Tell the gateway whether a control member confirms it

ControlMemberChanged is passed on to the request path as ControlContactChanged. The subscription emits it after the document of the same update, since the gateway would otherwise refuse keys and routes that this document has.

Requests refused with 401 are counted in jaybridge_requests_refused_unauthorized. The first one since the configuration in force changes the state of unknown-keys in the log.

--- a/Libraries/LibRegistry/RegistrySubscription.h
+++ b/Libraries/LibRegistry/RegistrySubscription.h
@@ -207,8 +207,11 @@
   }
   void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out) {
     if (const auto *Update = std::get_if<RegistryUpdate>(&Received.Message_)) {
-      if (!State_.acceptUpdate(Received.From_, *Update, Now, Out))
+      Effects Confirmation;
+      if (!State_.acceptUpdate(Received.From_, *Update, Now, Confirmation)) {
+        Out.insert(Out.end(), Confirmation.begin(), Confirmation.end());
         return;
+      }
       // Instances come first: requests that wait for their routes need the
       // instances as soon as the routes are there.
       State_.applyInstances(*Update, Out);
@@ -216,6 +219,9 @@
         applyDocument(*Update->Document_, Out);
       if (Update->Delta_)
         applyDelta(*Update->Delta_, Now, Out);
+      // Last, since the gateway then refuses keys and routes that are not in
+      // its configuration.
+      Out.insert(Out.end(), Confirmation.begin(), Confirmation.end());
     } else if (const auto *Heartbeat =
                    std::get_if<RegistryHeartbeat>(&Received.Message_)) {
       State_.handleHeartbeat(Received.From_, *Heartbeat, Now, Out);
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -26,6 +26,8 @@
 /// Connections within a region open within a few milliseconds; a lost packet is
 /// retransmitted after about 200 ms.
 constexpr Duration ConnectTimeout = 400ms;
+/// State since the configuration in force: whether keys were refused.
+constexpr const char *UnknownKeysSubject = "unknown-keys";
 
 RegistrySubscriptionSettings
 subscriptionSettings(const Settings &DaemonSettings) {
@@ -172,6 +174,9 @@
 void GatewayDaemon::logRequestStep(const RecordStep &Step) {
   if (Step.Kind_ == StepKind::Received)
     return;
+  if (Step.Kind_ == StepKind::Refused &&
+      Step.Detail_ == refusalReasonName(RefusalReason::Unauthorized))
+    Log_.writeStateChange(LogLevel::Info, UnknownKeysSubject, "refused");
   Log_.write(LogLevel::Info, "request",
              {{"id", Step.Id_.text()},
               {"step", stepName(Step.Kind_)},
@@ -210,9 +215,12 @@
 
 void GatewayDaemon::apply(RoutingChanged &Changed) {
   AppliedVersion_ = Changed.Table_->version().value();
-  Log_.write(LogLevel::Info, "configuration-in-force",
-             {{"version", std::to_string(AppliedVersion_)},
-              {"routes", std::to_string(Changed.Table_->routeCount())}});
+  Log_.write(
+      LogLevel::Info, "configuration-in-force",
+      {{"version", std::to_string(AppliedVersion_)},
+       {"routes", std::to_string(Changed.Table_->routeCount())},
+       {"teams", std::to_string(Changed.Table_->teams().teams().size())}});
+  Log_.writeStateChange(LogLevel::Info, UnknownKeysSubject, "none");
   RequestPath_->post(std::move(Changed));
 }
 
@@ -254,6 +262,7 @@
 void GatewayDaemon::apply(const ControlMemberChanged &Changed) {
   Log_.writeStateChange(LogLevel::Info, "control-member",
                         Changed.Member_ ? Changed.Member_->text() : "none");
+  RequestPath_->post(ControlContactChanged{Changed.Member_.has_value()});
 }
 
 void GatewayDaemon::apply(const DocumentRejected &Rejected) {
@@ -273,6 +282,7 @@
   Set("jaybridge_requests_refused_not_run", Counts.RefusedNotRun_);
   Set("jaybridge_requests_refused_ran", Counts.RefusedRan_);
   Set("jaybridge_requests_refused_unknown", Counts.RefusedUnknown_);
+  Set("jaybridge_requests_refused_unauthorized", Counts.RefusedUnauthorized_);
   Set("jaybridge_log_lines_dropped", Log_.droppedLineCount());
   Set("jaybridge_configuration_version", EventCount(AppliedVersion_));
   const UpstreamClientCounts Upstreams = RequestPath_->upstreams().counts();
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -68,10 +68,12 @@
 }
 
 RequestPathCounts RequestPath::counts() const {
-  return RequestPathCounts{
-      EventCount(Counters_.Answered_), EventCount(Counters_.RefusedNotRun_),
-      EventCount(Counters_.RefusedRan_), EventCount(Counters_.RefusedUnknown_),
-      EventCount(Counters_.RingsFull_)};
+  return RequestPathCounts{EventCount(Counters_.Answered_),
+                           EventCount(Counters_.RefusedNotRun_),
+                           EventCount(Counters_.RefusedRan_),
+                           EventCount(Counters_.RefusedUnknown_),
+                           EventCount(Counters_.RefusedUnauthorized_),
+                           EventCount(Counters_.RingsFull_)};
 }
 
 bool RequestPath::drain(Duration Limit) {
@@ -179,6 +181,8 @@
 
 void RequestPath::count(const Answer &Counted) {
   const auto *AsRefusal = std::get_if<Refusal>(&Counted);
+  if (AsRefusal && AsRefusal->Reason_ == RefusalReason::Unauthorized)
+    ++Counters_.RefusedUnauthorized_;
   if (AsRefusal == nullptr)
     ++Counters_.Answered_;
   else if (AsRefusal->Outcome_ == Outcome::NotRun)
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -44,6 +44,8 @@
   EventCount RefusedNotRun_;
   EventCount RefusedRan_;
   EventCount RefusedUnknown_;
+  /// Part of RefusedNotRun_: no known key.
+  EventCount RefusedUnauthorized_;
   /// Effects that could not be passed on because the receiver's ring was full.
   EventCount RingsFull_;
 };
@@ -87,6 +89,7 @@
     std::atomic<std::uint64_t> RefusedNotRun_{0};
     std::atomic<std::uint64_t> RefusedRan_{0};
     std::atomic<std::uint64_t> RefusedUnknown_{0};
+    std::atomic<std::uint64_t> RefusedUnauthorized_{0};
     std::atomic<std::uint64_t> RingsFull_{0};
   };
 
--- a/Tests/LibRegistry/TestRegistrySubscription.cpp
+++ b/Tests/LibRegistry/TestRegistrySubscription.cpp
@@ -84,5 +84,29 @@
                                  delta(4, DocumentDigest(1)), true}),
     CaseName());
 
+// Guards against a confirmation that reaches the gateway before the document of
+// the same update: it then refuses keys and routes that the document has.
+TEST(RegistrySubscriptionTest, ConfirmsTheMemberAfterItsDocument) {
+  const MemberId Member("10.0.0.1:7000");
+  RegistrySubscriptionSettings Settings;
+  Settings.Self_ = Endpoint::create("10.9.0.1:7000").takeValue();
+  Settings.Seeds_ = {Member};
+  RegistrySubscription<LineDocument> Subscription(std::move(Settings),
+                                                  RandomSeed(1));
+  RegistryUpdate Update;
+  Update.Revision_ = LogIndex(7);
+  Update.Document_ = StoredDocument{ConfigurationVersion(4), "4 a.example s"};
+  std::vector<RegistrySubscriptionEffect> Effects;
+  Subscription.handle(SubscriptionReceived{Member, Update}, TimePoint{1h},
+                      Effects);
+  ASSERT_FALSE(Effects.empty());
+  const auto *Confirmed = std::get_if<ControlMemberChanged>(&Effects.back());
+  ASSERT_NE(Confirmed, nullptr);
+  EXPECT_EQ(Confirmed->Member_, Member);
+  EXPECT_TRUE(std::any_of(Effects.begin(), Effects.end(), [](const auto &Each) {
+    return std::holds_alternative<RoutingChanged>(Each);
+  }));
+}
+
 } // namespace
 } // namespace jaybridge
