--- a/Tests/LibWire/TestForwardCodec.cpp
+++ b/Tests/LibWire/TestForwardCodec.cpp
@@ -73,9 +73,9 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Reasons, RefusalReasonTest,
-    testing::Range(0, static_cast<int>(RefusalReason::HomeLost) + 1));
+INSTANTIATE_TEST_SUITE_P(Reasons, RefusalReasonTest,
+                         testing::Range(0, static_cast<int>(LastRefusalReason) +
+                                               1));
 
 // Guards against a cancellation that reaches another request.
 TEST(ForwardCodecTest, KeepsTheIdOfACancellation) {
