--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -30,6 +30,8 @@
 /// Connections within a region open within a few milliseconds; a lost packet is
 /// retransmitted after about 200 ms.
 constexpr Duration ConnectTimeout = 400ms;
+/// State since the configuration in force: whether keys were refused.
+constexpr const char *UnknownKeysSubject = "unknown-keys";
 
 RegistrySubscriptionSettings
 subscriptionSettings(const Settings &DaemonSettings) {
@@ -188,6 +190,9 @@
 void GatewayDaemon::logRequestStep(const RecordStep &Step) {
   if (Step.Kind_ == StepKind::Received)
     return;
+  if (Step.Kind_ == StepKind::Refused &&
+      Step.Detail_ == refusalReasonName(RefusalReason::Unauthorized))
+    Log_.writeStateChange(LogLevel::Info, UnknownKeysSubject, "refused");
   Log_.write(LogLevel::Info, "request",
              {{"id", Step.Id_.text()},
               {"step", stepName(Step.Kind_)},
@@ -226,9 +231,12 @@
 
 void GatewayDaemon::apply(RoutingChanged &Changed) {
   AppliedVersion_ = Changed.Table_->version().value();
-  Log_.write(LogLevel::Info, "configuration-in-force",
-             {{"version", std::to_string(AppliedVersion_)},
-              {"routes", std::to_string(Changed.Table_->routeCount())}});
+  Log_.write(
+      LogLevel::Info, "configuration-in-force",
+      {{"version", std::to_string(AppliedVersion_)},
+       {"routes", std::to_string(Changed.Table_->routeCount())},
+       {"teams", std::to_string(Changed.Table_->teams().teams().size())}});
+  Log_.writeStateChange(LogLevel::Info, UnknownKeysSubject, "none");
   RequestPath_->post(std::move(Changed));
 }
 
@@ -270,6 +278,7 @@
 void GatewayDaemon::apply(const ControlMemberChanged &Changed) {
   Log_.writeStateChange(LogLevel::Info, "control-member",
                         Changed.Member_ ? Changed.Member_->text() : "none");
+  RequestPath_->post(ControlContactChanged{Changed.Member_.has_value()});
 }
 
 void GatewayDaemon::apply(const DocumentRejected &Rejected) {
@@ -290,6 +299,7 @@
   Set("jaybridge_requests_refused_ran", Counts.RefusedRan_);
   Set("jaybridge_requests_refused_unknown", Counts.RefusedUnknown_);
   Set("jaybridge_requests_refused_for_capacity", Counts.RefusedForCapacity_);
+  Set("jaybridge_requests_refused_unauthorized", Counts.RefusedUnauthorized_);
   Set("jaybridge_log_lines_dropped", Log_.droppedLineCount());
   Set("jaybridge_configuration_version", EventCount(AppliedVersion_));
   for (const auto &[Name, Count] :
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -77,6 +77,7 @@
                            EventCount(Counters_.RefusedRan_),
                            EventCount(Counters_.RefusedUnknown_),
                            EventCount(Counters_.RefusedForCapacity_),
+                           EventCount(Counters_.RefusedUnauthorized_),
                            EventCount(Counters_.RingsFull_)};
 }
 
@@ -215,6 +216,8 @@
       (AsRefusal->Reason_ == RefusalReason::Overloaded ||
        AsRefusal->Reason_ == RefusalReason::UpstreamUnavailable))
     ++Counters_.RefusedForCapacity_;
+  if (AsRefusal && AsRefusal->Reason_ == RefusalReason::Unauthorized)
+    ++Counters_.RefusedUnauthorized_;
   if (AsRefusal == nullptr)
     ++Counters_.Answered_;
   else if (AsRefusal->Reason_ == RefusalReason::AwaitsTurn)
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -53,6 +53,8 @@
   /// Part of RefusedNotRun_: no instance had capacity, or instances rejected
   /// the request.
   EventCount RefusedForCapacity_;
+  /// Part of RefusedNotRun_: no known key.
+  EventCount RefusedUnauthorized_;
   /// Effects that could not be passed on because the receiver's ring was full.
   EventCount RingsFull_;
 };
@@ -103,6 +105,7 @@
     std::atomic<std::uint64_t> RefusedRan_{0};
     std::atomic<std::uint64_t> RefusedUnknown_{0};
     std::atomic<std::uint64_t> RefusedForCapacity_{0};
+    std::atomic<std::uint64_t> RefusedUnauthorized_{0};
     std::atomic<std::uint64_t> RingsFull_{0};
   };
 
