jaybridged: Report callers' refusals in every duty

Cause: only the gateway duty had counters for requests that the caller listener refuses or cuts off, and a line when the memory for requests becomes short.

Change: the duty "all" has both, too.

Evidence: jaybridged builds; both tests of TestSmoke pass.

--- a/Services/jaybridged/DaemonOperators.cpp
+++ b/Services/jaybridged/DaemonOperators.cpp
@@ -1,4 +1,5 @@
 #include <Daemon.h>
+#include <ProcessStart.h>
 
 #include <LibHTTP/RequestIdGenerator.h>
 
@@ -76,9 +77,14 @@
        OperatorListener_->counts().Unauthorized_},
   };
   std::string Text = Metrics_.text();
-  for (const auto &[Name, Count] : Counts)
-    Text += std::string("# TYPE ") + Name + " counter\n" + Name + " " +
+  auto Append = [&Text](const std::string &Name, EventCount Count) {
+    Text += "# TYPE " + Name + " counter\n" + Name + " " +
             std::to_string(Count.value()) + "\n";
+  };
+  for (const auto &[Name, Count] : Counts)
+    Append(Name, Count);
+  for (const auto &[Name, Count] : callerMetrics(Callers))
+    Append(Name + "_total", Count);
   return Text;
 }
 
--- a/Services/jaybridged/DaemonRequests.cpp
+++ b/Services/jaybridged/DaemonRequests.cpp
@@ -34,6 +34,10 @@
                  ForwardAnswered{Answered.Id_, std::move(Answered.Answer_)}));
   };
   Sinks.Record_ = [this](RecordStep Step) { post(History_, std::move(Step)); };
+  Sinks.ReceiveBudgetChanged_ = [this](bool IsShort) {
+    Log_.writeStateChange(LogLevel::Warning, "receive-memory",
+                          IsShort ? "short" : "free");
+  };
   return Sinks;
 }
 
