--- a/Libraries/LibRouting/ServiceRouter.cpp
+++ b/Libraries/LibRouting/ServiceRouter.cpp
@@ -15,8 +15,10 @@
 /// Single rejections are due to requests that arrive at the same time; they end
 /// by trying another instance.
 constexpr RequestShare ScarceRejectionShare(0.1);
-constexpr RequestShare MostRejectionShare(0.5);
-constexpr RequestShare SufficientRejectionShare(0.25);
+/// While instances reject about half, another attempt is worth a retry of the
+/// budget.
+constexpr RequestShare MostRejectionShare(0.7);
+constexpr RequestShare SufficientRejectionShare(0.35);
 /// Longer waits are not predictable from the rejections of a few seconds.
 constexpr Duration MaxCapacityDelay = 5s;
 
--- a/Libraries/LibUpstream/RejectionShare.cpp
+++ b/Libraries/LibUpstream/RejectionShare.cpp
@@ -23,7 +23,7 @@
 
 RequestShare RejectionShare::excess(TimePoint Now) const {
   double Decay = decayAt(Now);
-  return RequestShare(std::max(0.0, (Rejections_ - Runs_) * Decay) /
+  return RequestShare(std::max(0.0, (Rejections_ - 2 * Runs_) * Decay) /
                       ((Rejections_ + Runs_) * Decay + 1));
 }
 
--- a/Libraries/LibUpstream/RejectionShare.h
+++ b/Libraries/LibUpstream/RejectionShare.h
@@ -18,7 +18,7 @@
   /// Rejected requests among the recorded ones and one assumed to run.
   RequestShare share(TimePoint Now) const;
   /// Share of requests to reject without an attempt, so that the attempts
-  /// exceed twice those that run by about one. It stays below 1: single
+  /// exceed three times those that run by about one. It stays below 1: single
   /// attempts show when capacity returns (Beyer et al. 2016, "Site Reliability
   /// Engineering", chapter 21).
   RequestShare excess(TimePoint Now) const;
--- a/Libraries/LibUpstream/UpstreamInstance.h
+++ b/Libraries/LibUpstream/UpstreamInstance.h
@@ -34,7 +34,7 @@
   /// Time from a rejection until its weight has halved.
   static constexpr Duration RejectionHalfLife = 1s;
   /// Rejections in a row from which on an instance counts as rejecting most.
-  static constexpr unsigned MinRejectionsInRow = 2;
+  static constexpr unsigned MinRejectionsInRow = 3;
   /// Time after a run in which the instance is expected to run requests.
   static constexpr Duration RunEvidenceLifetime = 5s;
 
--- a/Tests/Scenarios/FakeFleet.h
+++ b/Tests/Scenarios/FakeFleet.h
@@ -24,10 +24,10 @@
   double OfferedLoad_ = 0.6;
 };
 
-enum class FaultKind { Slow, Errors, Restart };
+enum class FaultKind { Slow, Errors, Restart, Rejections };
 
-/// A fault of one instance of every service, or of all instances, from Start_
-/// to End_, counted from the start of the run.
+/// A fault of one instance of every service, of all instances, or of the first
+/// ones, from Start_ to End_, counted from the start of the run.
 struct FakeFault {
   static constexpr int AllInstances = -1;
   FaultKind Kind_ = FaultKind::Slow;
@@ -35,8 +35,10 @@
   Duration Start_{};
   Duration End_{};
   /// Factor by which the service time grows (Slow), or probability that a
-  /// request fails (Errors).
+  /// request fails (Errors) or is rejected as not run (Rejections).
   double Magnitude_ = 0;
+  /// Instances that Rejections concerns, from the first one on.
+  int InstanceCount_ = 0;
 };
 
 /// Settings of one simulated run.
@@ -74,6 +76,10 @@
   double DispatchedAttempts_ = 0;
   /// Attempts that reached an instance whose slots were all in use.
   double Collisions_ = 0;
+  /// Attempts that an instance rejected as not run.
+  double Rejections_ = 0;
+  /// Whole spans of 2 s between two attempts at an instance.
+  double StarvedSpans_ = 0;
   /// Requests that are not repeatable and ran more than once.
   double DuplicateRuns_ = 0;
   /// Requests that were refused as not run although they ran.
@@ -133,6 +139,7 @@
     bool IsStopped_ = false;
     bool IsDraining_ = false;
     TimePoint ColdUntil_{};
+    TimePoint LastAttemptAt_{};
     std::vector<AttemptKey> RunningAttempts_;
     std::deque<AttemptKey> QueuedAttempts_;
   };
@@ -166,6 +173,7 @@
   static constexpr std::size_t MaxBacklog = 2;
   static constexpr int DomainCount = 3;
   static constexpr int MaxResends = 3;
+  static constexpr Duration StarvationSpan = 2s;
 
   static FailureDomain domainOf(std::size_t Number) {
     return FailureDomain("d" + std::to_string(Number % DomainCount));
@@ -360,11 +368,29 @@
       return finishAttempt(Id, AttemptResult::ConnectFailed);
     if (Target.RunningAttempts_.size() >= Target.Record_.Slots_.value())
       ++Statistics_.Collisions_;
-    if (Target.IsDraining_ || Target.QueuedAttempts_.size() >= MaxBacklog)
+    noteAttempt(Target);
+    if (Target.IsDraining_ || Target.QueuedAttempts_.size() >= MaxBacklog ||
+        isRejecting(Target)) {
+      ++Statistics_.Rejections_;
       return finishAttempt(Id, AttemptResult::RefusedNotRun);
+    }
     Target.QueuedAttempts_.push_back(Id);
     startQueuedAttempts(Target);
   }
+  bool isRejecting(const Instance &Target) {
+    for (const FakeFault &Fault : Scenario_.Faults_)
+      if (Fault.Kind_ == FaultKind::Rejections &&
+          static_cast<int>(Target.Number_) < Fault.InstanceCount_ &&
+          Now_ >= TimePoint(Fault.Start_) && Now_ < TimePoint(Fault.End_))
+        return Random_.unit() < Fault.Magnitude_;
+    return false;
+  }
+  void noteAttempt(Instance &Target) {
+    if (Now_ < TimePoint(Scenario_.ArrivalDuration_))
+      Statistics_.StarvedSpans_ +=
+          static_cast<double>((Now_ - Target.LastAttemptAt_) / StarvationSpan);
+    Target.LastAttemptAt_ = Now_;
+  }
   void startQueuedAttempts(Instance &Target) {
     while (!Target.QueuedAttempts_.empty() &&
            Target.RunningAttempts_.size() < Target.Record_.Slots_.value()) {
