--- a/Libraries/LibUpstream/LatencyEstimate.cpp
+++ b/Libraries/LibUpstream/LatencyEstimate.cpp
@@ -1,7 +1,6 @@
 #include <LibUpstream/LatencyEstimate.h>
 
 #include <algorithm>
-#include <bit>
 
 namespace jaybridge {
 
@@ -11,24 +10,6 @@
 constexpr std::uint32_t MaxHistogramTotal = 512;
 /// Number of samples between two computations of the quantile.
 constexpr std::uint64_t RecomputeInterval = 8;
-constexpr std::uint64_t BucketsPerDoubling = 4;
-
-std::size_t bucketOf(Duration Elapsed, std::size_t NumBuckets) {
-  auto Microseconds = static_cast<std::uint64_t>(std::max<Duration::rep>(
-      Elapsed.count(), static_cast<Duration::rep>(BucketsPerDoubling)));
-  auto Exponent = static_cast<std::uint64_t>(std::bit_width(Microseconds)) - 1;
-  std::uint64_t Fraction =
-      (Microseconds >> (Exponent - 2)) - BucketsPerDoubling;
-  return std::min<std::size_t>((Exponent - 2) * BucketsPerDoubling + Fraction,
-                               NumBuckets - 1);
-}
-
-Duration upperBoundOf(std::size_t Bucket) {
-  std::uint64_t Exponent = Bucket / BucketsPerDoubling;
-  std::uint64_t Fraction = Bucket % BucketsPerDoubling;
-  return Duration((BucketsPerDoubling + Fraction + 1) << Exponent);
-}
-
 } // namespace
 
 void LatencyEstimate::record(Duration Elapsed, TimePoint Now) {
@@ -45,7 +26,7 @@
 }
 
 void LatencyQuantile::record(Duration Elapsed) {
-  ++Histogram_[bucketOf(Elapsed, BucketCount)];
+  ++Histogram_[DurationBuckets::of(Elapsed)];
   ++HistogramTotal_;
   SampleCount_ += EventCount(1);
   if (HistogramTotal_ >= MaxHistogramTotal) {
@@ -66,7 +47,7 @@
   for (std::size_t Bucket = 0; Bucket < BucketCount; ++Bucket) {
     ScaledCount += std::uint64_t{Histogram_[Bucket]} * 100;
     if (ScaledCount >= ScaledTarget) {
-      Quantile_ = upperBoundOf(Bucket);
+      Quantile_ = DurationBuckets::upperBound(Bucket);
       return;
     }
   }
--- a/Libraries/LibUpstream/LatencyEstimate.h
+++ b/Libraries/LibUpstream/LatencyEstimate.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibCore/Units.h>
+#include <LibUpstream/DurationBuckets.h>
 
 #include <array>
 #include <cstdint>
@@ -53,7 +54,7 @@
   Duration value() const { return Quantile_; }
 
 private:
-  static constexpr std::size_t BucketCount = 128;
+  static constexpr std::size_t BucketCount = DurationBuckets::Count;
 
   void recompute();
 
