LibWire: Encode the messages of team limits

TokenRequest and TokenGrant get tags at the end; daemons without them report them as damaged, as all unknown kinds. RefusalReason gets RateLimited (429). RegistryRequests.h includes the headers that it uses: it did not compile on its own include order.

--- a/Libraries/LibExchange/Answer.cpp
+++ b/Libraries/LibExchange/Answer.cpp
@@ -62,6 +62,8 @@
     return "crashes-upstreams";
   case RefusalReason::HomeLost:
     return "home-lost";
+  case RefusalReason::RateLimited:
+    return "rate-limited";
   }
   return "internal";
 }
@@ -72,6 +74,7 @@
   constexpr StatusCode Conflict(409);
   constexpr StatusCode ContentTooLarge(413);
   constexpr StatusCode Unprocessable(422);
+  constexpr StatusCode TooManyRequests(429);
   constexpr StatusCode BadGateway(502);
   constexpr StatusCode Unavailable(503);
   constexpr StatusCode GatewayTimeout(504);
@@ -88,6 +91,9 @@
   case RefusalReason::InProgress:
   case RefusalReason::AnswerNotStored:
     return Conflict;
+  case RefusalReason::RateLimited:
+    return Refused.Outcome_ == Outcome::NotRun ? TooManyRequests
+                                               : GatewayTimeout;
   case RefusalReason::AnswerTooLarge:
   case RefusalReason::AnswerCutShort:
   case RefusalReason::ConnectionLost:
--- a/Libraries/LibExchange/Answer.h
+++ b/Libraries/LibExchange/Answer.h
@@ -46,6 +46,7 @@
   AnswerNotStored,
   CrashesUpstreams,
   HomeLost,
+  RateLimited,
 };
 
 /// Final result of a request that gets no response of an upstream.
--- a/Libraries/LibHTTP/ProblemDocument.cpp
+++ b/Libraries/LibHTTP/ProblemDocument.cpp
@@ -37,6 +37,8 @@
     return "Misdirected Request";
   case 422:
     return "Unprocessable Content";
+  case 429:
+    return "Too Many Requests";
   case 500:
     return "Internal Server Error";
   case 502:
--- a/Libraries/LibRegistry/RegistryRequests.h
+++ b/Libraries/LibRegistry/RegistryRequests.h
@@ -3,6 +3,9 @@
 #include <LibRegistry/ControlMessages.h>
 #include <LibRegistry/ControlSettings.h>
 #include <LibRegistry/PendingDocument.h>
+#include <LibRegistry/ServiceRegistry.h>
+
+#include <LibReplication/ReplicatedLog.h>
 
 #include <map>
 #include <utility>
--- a/Libraries/LibRegistry/SubscriptionMessages.h
+++ b/Libraries/LibRegistry/SubscriptionMessages.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Hash.h>
 #include <LibCore/Units.h>
+#include <LibQuota/TokenMessages.h>
 #include <LibRouting/GatewayMessages.h>
 
 #include <optional>
@@ -182,7 +183,7 @@
 using SubscriptionMessage =
     std::variant<SubscribeRequest, AttemptReport, RegistryUpdate,
                  RegistryHeartbeat, FollowerReport, LeaderUpdate,
-                 RetriesGranted, RegistryStale>;
+                 RetriesGranted, RegistryStale, TokenRequest, TokenGrant>;
 
 /// A message arrived from another daemon.
 struct SubscriptionReceived {
--- a/Libraries/LibWire/ForwardCodec.cpp
+++ b/Libraries/LibWire/ForwardCodec.cpp
@@ -106,7 +106,7 @@
 }
 
 RefusalReason readReason(std::string_view Name) {
-  constexpr auto Last = static_cast<int>(RefusalReason::HomeLost);
+  constexpr auto Last = static_cast<int>(RefusalReason::RateLimited);
   for (int Number = 0; Number <= Last; ++Number)
     if (Name == refusalReasonName(static_cast<RefusalReason>(Number)))
       return static_cast<RefusalReason>(Number);
--- a/Libraries/LibWire/LedgerCodec.cpp
+++ b/Libraries/LibWire/LedgerCodec.cpp
@@ -70,7 +70,7 @@
     return damaged("an unknown kind of answer");
   auto Part = Reader.getRefusal();
   if (Part.getOutcome() > static_cast<int>(Outcome::Unknown) ||
-      Part.getReason() > static_cast<int>(RefusalReason::HomeLost))
+      Part.getReason() > static_cast<int>(RefusalReason::RateLimited))
     return damaged("an unknown outcome or reason");
   Refusal Refused;
   Refused.Outcome_ = static_cast<Outcome>(Part.getOutcome());
--- a/Tests/LibWire/TestRegistryCodec.cpp
+++ b/Tests/LibWire/TestRegistryCodec.cpp
@@ -86,6 +86,28 @@
                   .Requests_.isEmpty());
 }
 
+// Guards against tokens that change between daemons, and against a token
+// message that is far larger than its teams: a gateway may use 4 KB/s for all
+// of them.
+TEST(TokenMessageTest, CarriesTokensInFewBytes) {
+  const TokenRequest Request{
+      TokenRound(~0ULL),
+      {{TeamName("kaje80"), RequestTokens(3), {}},
+       {TeamName("b"), {}, RequestTokens(2)}},
+      {{TeamName("c"), TokenRound(7), RequestTokens(1)}}};
+  const TokenGrant Grant{TokenRound(1),
+                         {{TeamName("kaje80"), RequestTokens(2), {}},
+                          {TeamName("b"), {}, Duration(20ms)}}};
+  const std::string Bytes = encodeSubscriptionMessage(Request);
+  EXPECT_EQ(std::get<TokenRequest>(decodeSubscriptionMessage(Bytes).value()),
+            Request);
+  EXPECT_LE(Bytes.size(), 40U);
+  EXPECT_EQ(
+      std::get<TokenGrant>(
+          decodeSubscriptionMessage(encodeSubscriptionMessage(Grant)).value()),
+      Grant);
+}
+
 struct DepartureCase {
   const char *Name_;
   std::optional<Incarnation> LastIncarnation_;
