LibRegistry, LibRouting: Grant tokens of limited teams to gateways

Control members pass token requests of their gateways on to the leader, whose buckets follow the limits of the newest document (TokenGrantor). A gateway takes a token before the first attempt of a request of a limited team, holds the request for at most 150 ms until the grant and then refuses it with 429 or 503; a request that did not run returns its token (TeamLimiter). Requests without a team take no token, so that nothing changes until requests carry their team.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -10,6 +10,7 @@
 #include <LibRegistry/RetryPool.h>
 #include <LibRegistry/ServiceRegistry.h>
 #include <LibRegistry/SubscriberTable.h>
+#include <LibRegistry/TokenGrantor.h>
 #include <LibRegistry/VoterPolicy.h>
 
 #include <LibCore/DecisionRole.h>
@@ -24,7 +25,8 @@
 /// to the service registry and updates the gateways that subscribe to it.
 /// Changes are acknowledged after a majority has synced them. Only a member in
 /// contact with the leader reports a revision as current.
-template <RegistryEncoding Codec> class ControlService {
+template <RegistryEncoding Codec, TeamLimitReader Limits = NoTeamLimits>
+class ControlService {
 public:
   using Event = ControlEvent;
   using Effect = ControlEffect;
@@ -32,7 +34,8 @@
 
   ControlService(ControlSettings Settings, ReplicatedLog Log)
       : Settings_(std::move(Settings)), Log_(std::move(Log)),
-        Schedule_(Settings_), Retries_(Settings_.RetryAllowance_) {}
+        Schedule_(Settings_), Retries_(Settings_.RetryAllowance_),
+        Tokens_(Settings_.FirstTokenRound_) {}
 
   void handle(const Event &Incoming, TimePoint Now, Effects &Out) {
     std::visit([&](const auto &Concrete) { on(Concrete, Now, Out); }, Incoming);
@@ -49,11 +52,12 @@
       report(Now, Out);
     if (Log_.isLeader() && Schedule_.isLeaderUpdateDue(Now))
       notifyFollowers(Now, Out);
+    Tokens_.advance(tokenRole(Now), Now, Out);
   }
   std::optional<TimePoint> nextDeadline() const {
     TimePoint Next = Schedule_.nextDeadline(Log_.isLeader());
-    if (auto Due = Log_.nextDeadline())
-      Next = std::min(Next, *Due);
+    for (auto Due : {Log_.nextDeadline(), Tokens_.nextDeadline()})
+      Next = std::min(Next, Due.value_or(Next));
     return Next;
   }
 
@@ -126,10 +130,17 @@
                      if (Log_.leader() == Received.From_)
                        applyLeaderUpdate(Update, Now, Out);
                    },
+                   [&]<TokenMessage Message>(const Message &Tokens) {
+                     Tokens_.handle(Received.From_, Tokens, tokenRole(Now), Now,
+                                    Out);
+                   },
                    [](const auto &) {},
                },
                Received.Message_);
   }
+  TokenRole tokenRole(TimePoint Now) const {
+    return {Settings_.Self_, Log_, isCurrent(Now), Registry_.document()};
+  }
 
   void subscribe(const MemberId &From, const SubscribeRequest &Request,
                  TimePoint Now, Effects &Out) {
@@ -474,6 +485,7 @@
   bool WasCurrent_ = false;
   MemberDomains Domains_;
   RetryPool Retries_;
+  TokenGrantor<Limits> Tokens_;
   RegistryRequests<Codec> Requests_;
   std::optional<MemberId> KnownLeader_;
 };
--- a/Libraries/LibRegistry/ControlSettings.h
+++ b/Libraries/LibRegistry/ControlSettings.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
+#include <LibQuota/TokenMessages.h>
 #include <LibRegistry/ServiceRegistry.h>
 
 #include <concepts>
@@ -43,6 +44,9 @@
   /// Minimum time between two reports to the leader when failures are reported
   /// ahead of the regular interval.
   Duration MinReportInterval_ = 50ms;
+  /// Differs between starts of the process: the leader must not take tokens of
+  /// an earlier start for those of this one.
+  TokenRound FirstTokenRound_{};
 };
 
 } // namespace jaybridge
--- a/Libraries/LibRegistry/RegistrySubscription.h
+++ b/Libraries/LibRegistry/RegistrySubscription.h
@@ -60,11 +60,11 @@
 
 using RegistrySubscriptionEvent =
     std::variant<SubscriptionReceived, MemberConnectionLost, ReportAttempt,
-                 ReportRetry, ReportOverdue>;
+                 ReportRetry, ReportOverdue, SendTokenRequest>;
 using RegistrySubscriptionEffect =
     std::variant<SendSubscription, RoutingChanged, InstanceChanged,
                  EjectionsChanged, FingerprintsQuarantined, RetriesGranted,
-                 ControlMemberChanged, DocumentRejected>;
+                 ControlMemberChanged, DocumentRejected, TokensGranted>;
 
 /// Parses the text of a configuration into its routing table.
 template <typename Reader>
@@ -88,6 +88,12 @@
   void recordOverdue(const ReportOverdue &Overdue, TimePoint Now);
   /// Requests a replacement with the next report.
   void recordRetrySpent(const ReportRetry &Spent, TimePoint Now);
+  /// Requests tokens from the followed member. Without one, the request stays
+  /// unanswered.
+  void sendTokenRequest(const SendTokenRequest &Send, Effects &Out) const {
+    if (IsConfirmed_ && FollowedMember_)
+      Out.emplace_back(SendSubscription{*FollowedMember_, Send.Request_});
+  }
   /// Passes on granted retries, at most the number that was spent.
   void acceptGrant(const RetriesGranted &Grant, Effects &Out);
 
@@ -202,6 +208,9 @@
   void on(const ReportRetry &Spent, TimePoint Now, Effects &) {
     State_.recordRetrySpent(Spent, Now);
   }
+  void on(const SendTokenRequest &Send, TimePoint, Effects &Out) {
+    State_.sendTokenRequest(Send, Out);
+  }
   void on(const MemberConnectionLost &Lost, TimePoint Now, Effects &Out) {
     State_.handleConnectionLost(Lost.Member_, Now, Out);
   }
@@ -224,6 +233,9 @@
     } else if (const auto *Grant =
                    std::get_if<RetriesGranted>(&Received.Message_)) {
       State_.acceptGrant(*Grant, Out);
+    } else if (const auto *Tokens =
+                   std::get_if<TokenGrant>(&Received.Message_)) {
+      Out.emplace_back(TokensGranted{*Tokens});
     }
   }
   void applyDocument(const StoredDocument &Stored, Effects &Out) {
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -39,13 +39,24 @@
 }
 
 void Gateway::handle(const Event &Incoming, TimePoint Now, Effects &Out) {
+  const std::size_t FirstEffect = Out.size();
   std::visit([&](const auto &Alternative) { on(Alternative, Now, Out); },
              Incoming);
+  settleTokens(FirstEffect, Now, Out);
+}
+
+void Gateway::advance(TimePoint Now, Effects &Out) {
+  const std::size_t FirstEffect = Out.size();
+  expireHeldRequests(Now, Out);
+  Dispatcher_.advance(Now, Out);
+  Limiter_.advance(Now, TokenVerdicts_);
+  applyTokenVerdicts(Now, Out);
+  settleTokens(FirstEffect, Now, Out);
 }
 
 void Gateway::on(const RequestReceived &Incoming, TimePoint Now, Effects &Out) {
   const Request &Received = *Incoming.Request_;
-  if (Dispatcher_.find(Received.Id_))
+  if (Dispatcher_.find(Received.Id_) || LimitedRequests_.contains(Received.Id_))
     return;
   Out.emplace_back(RecordStep{Received.Id_,
                               StepKind::Received,
@@ -125,6 +136,72 @@
   if (Dispatcher_.requestCount() >= Settings_.MaxRequests_.value() &&
       !Dispatcher_.shedLowerWeight(NewExecution.weight(), Now, Out))
     return refuseNew(NewExecution.request(), RefusalReason::Overloaded, Out);
+  if (Incoming.IsForwarded_ || !Limiter_.isLimited(NewExecution.team()))
+    return openAdmitted(Incoming, std::move(NewExecution), Now, Out);
+  const Request &Received = *Incoming.Request_;
+  const TokenVerdict Verdict =
+      Limiter_.admit(Received.Id_, NewExecution.team(), Now);
+  if (std::holds_alternative<TokenSpent>(Verdict))
+    return openAdmitted(Incoming, std::move(NewExecution), Now, Out);
+  if (std::holds_alternative<AwaitsToken>(Verdict)) {
+    LimitedRequests_.emplace(Received.Id_,
+                             LimitedRequest{Incoming, std::move(NewExecution)});
+    return;
+  }
+  refuseLimited(NewExecution.request(), Verdict, Out);
+}
+
+void Gateway::refuseLimited(const Request &Received,
+                            const TokenVerdict &Verdict, Effects &Out) {
+  if (const auto *Reached = std::get_if<LimitReached>(&Verdict))
+    return refuseNew(Received, RefusalReason::RateLimited, Out,
+                     Reached->RetryAfter_);
+  refuseNew(Received, RefusalReason::NotReady, Out);
+}
+
+void Gateway::applyTokenVerdicts(TimePoint Now, Effects &Out) {
+  std::vector<TokenDecided> Verdicts;
+  Verdicts.swap(TokenVerdicts_);
+  for (const TokenDecided &Decided : Verdicts) {
+    auto Node = LimitedRequests_.extract(Decided.Id_);
+    if (Node.empty())
+      continue;
+    auto &[Incoming, Execution] = Node.mapped();
+    if (!std::holds_alternative<TokenSpent>(Decided.Verdict_))
+      refuseLimited(Execution.request(), Decided.Verdict_, Out);
+    else if (Execution.deadline() <= Now)
+      refuseNew(Execution.request(), RefusalReason::DeadlinePassed, Out);
+    else
+      openAdmitted(Incoming, std::move(Execution), Now, Out);
+  }
+}
+
+void Gateway::settleTokens(std::size_t FirstEffect, TimePoint Now,
+                           Effects &Out) {
+  for (std::size_t Index = FirstEffect; Index < Out.size(); ++Index)
+    if (const auto *Answered = std::get_if<AnswerCaller>(&Out[Index])) {
+      const auto *Refused = std::get_if<Refusal>(&Answered->Answer_);
+      Limiter_.finish(Answered->Id_,
+                      Refused && Refused->Outcome_ == Outcome::NotRun, Now);
+    }
+  if (auto Request = Limiter_.takeRequest(Now))
+    Out.emplace_back(SendTokenRequest{std::move(*Request)});
+  for (TeamRefusalChanged &Changed : Limiter_.takeRefusalChanges())
+    Out.emplace_back(std::move(Changed));
+  if (Limiter_.counts() != ReportedCounts_) {
+    ReportedCounts_ = Limiter_.counts();
+    Out.emplace_back(ReportedCounts_);
+  }
+}
+
+void Gateway::on(const TokensGranted &Incoming, TimePoint Now, Effects &Out) {
+  Limiter_.accept(Incoming.Grant_, Now, TokenVerdicts_);
+  applyTokenVerdicts(Now, Out);
+}
+
+void Gateway::openAdmitted(const RequestReceived &Incoming,
+                           RequestExecution NewExecution, TimePoint Now,
+                           Effects &Out) {
   RequestExecution &Execution = Dispatcher_.open(std::move(NewExecution));
   if (Incoming.IsForwarded_ || !forward(Execution, Now, Out))
     serveLocally(Execution, Now, Out);
@@ -135,6 +212,8 @@
   std::erase_if(HeldRequests_, [&](const HeldRequest &Held) {
     return Held.Incoming_.Request_->Id_ == Incoming.Id_;
   });
+  if (LimitedRequests_.erase(Incoming.Id_) > 0)
+    Limiter_.cancel(Incoming.Id_);
   RequestExecution *Execution = Dispatcher_.find(Incoming.Id_);
   if (Execution && Execution->phase() != RequestExecution::Phase::Answered)
     Dispatcher_.refuse(*Execution, RefusalReason::CallerGone, Now, Out);
@@ -153,6 +232,7 @@
   if (Routes_ && Incoming.Table_->version() < Routes_->version())
     return;
   Routes_ = Incoming.Table_;
+  Limiter_.setTeams(Routes_->teams());
   Dispatcher_.configure(
       CatalogChanged{Routes_->version(), Routes_->policies()});
   std::deque<HeldRequest> HeldRequests;
@@ -249,7 +329,7 @@
 }
 
 void Gateway::refuseNew(const Request &Received, RefusalReason Reason,
-                        Effects &Out) {
+                        Effects &Out, std::optional<Duration> RetryAfter) {
   // An earlier copy of a request with a key may have run; only a claim could
   // rule that out.
   const ServiceRouter *Router = Dispatcher_.findService(Received.Service_);
@@ -257,7 +337,7 @@
       Router && Router->policy() && Router->policy()->Profile_.isRepeatable();
   bool IsCertain = IsRepeatable || !Received.Key_;
   Refusal Refused{
-      IsCertain ? Outcome::NotRun : Outcome::Unknown, Reason, std::nullopt, {}};
+      IsCertain ? Outcome::NotRun : Outcome::Unknown, Reason, RetryAfter, {}};
   if (Reason == RefusalReason::Draining ||
       Reason == RefusalReason::Overloaded || Reason == RefusalReason::NotReady)
     Refused.RetryAfter_ = RefusalRetryAfter;
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibCore/DecisionRole.h>
 #include <LibRouting/GatewaySettings.h>
 #include <LibRouting/RequestDispatcher.h>
+#include <LibRouting/TeamLimiter.h>
 
 #include <deque>
 
@@ -26,21 +27,21 @@
   static Result<Gateway> create(GatewaySettings Settings, RandomSeed Seed);
 
   void handle(const Event &Incoming, TimePoint Now, Effects &Out);
-  void advance(TimePoint Now, Effects &Out) {
-    expireHeldRequests(Now, Out);
-    Dispatcher_.advance(Now, Out);
-  }
+  void advance(TimePoint Now, Effects &Out);
   std::optional<TimePoint> nextDeadline() const {
     auto Next = Dispatcher_.nextDeadline();
     if (!HeldRequests_.empty() &&
         (!Next || HeldRequests_.front().ExpiresAt_ < *Next))
       Next = HeldRequests_.front().ExpiresAt_;
+    if (const auto Due = Limiter_.nextDeadline())
+      Next = std::min(Next.value_or(*Due), *Due);
     return Next;
   }
 
   /// True when a drain has started and no request or attempt is in progress.
   bool isDrained() const {
-    return Drain_ && HeldRequests_.empty() && Dispatcher_.isIdle();
+    return Drain_ && HeldRequests_.empty() && LimitedRequests_.empty() &&
+           Dispatcher_.isIdle();
   }
   std::size_t requestCount() const { return Dispatcher_.requestCount(); }
 
@@ -53,7 +54,7 @@
       : Settings_(std::move(Settings)),
         Dispatcher_(Settings_.Domain_, Settings_.QueueCapacity_,
                     Settings_.RetryBounds_, Seed),
-        Random_(Seed) {}
+        Limiter_(Seed), Random_(Seed) {}
 
   void on(const RequestReceived &Incoming, TimePoint Now, Effects &Out);
   void on(const CallerDisconnected &Incoming, TimePoint Now, Effects &Out);
@@ -71,17 +72,29 @@
     Dispatcher_.addGrantedRetries(Incoming);
   }
   void on(const DrainStarted &Incoming, TimePoint Now, Effects &Out);
+  void on(const TokensGranted &Incoming, TimePoint Now, Effects &Out);
 
   /// Admits or refuses a request whose service and profile are known.
   void open(const RequestReceived &Incoming, RequestExecution NewExecution,
             TimePoint Now, Effects &Out);
+  /// Forwards or dispatches a request that may be sent to an instance.
+  void openAdmitted(const RequestReceived &Incoming,
+                    RequestExecution NewExecution, TimePoint Now, Effects &Out);
+  /// Applies verdicts about requests that waited for a token.
+  void applyTokenVerdicts(TimePoint Now, Effects &Out);
+  void refuseLimited(const Request &Received, const TokenVerdict &Verdict,
+                     Effects &Out);
+  /// Returns the tokens of requests that were answered as not run since the
+  /// given effect, and passes on the limiter's messages.
+  void settleTokens(std::size_t FirstEffect, TimePoint Now, Effects &Out);
   /// Finds the route of a request that names no service and opens it.
   void openByRoute(const RequestReceived &Incoming, TimePoint Now,
                    Effects &Out);
   /// Draws a service of the route at random, by weight.
   const ServiceName &chooseService(const Route &Matched);
   /// Refuses a request that the dispatcher does not track yet.
-  void refuseNew(const Request &Received, RefusalReason Reason, Effects &Out);
+  void refuseNew(const Request &Received, RefusalReason Reason, Effects &Out,
+                 std::optional<Duration> RetryAfter = std::nullopt);
   /// Forwards the request to a home; false when there is no home or no time
   /// left, or when it was forwarded too often.
   bool forward(RequestExecution &Execution, TimePoint Now, Effects &Out);
@@ -103,6 +116,15 @@
   void expireHeldRequests(TimePoint Now, Effects &Out);
 
   std::deque<HeldRequest> HeldRequests_;
+  struct LimitedRequest {
+    RequestReceived Incoming_;
+    RequestExecution Execution_;
+  };
+  /// Requests that wait for a token of their team.
+  std::map<RequestId, LimitedRequest> LimitedRequests_;
+  TeamLimiter Limiter_;
+  TeamLimiterCounts ReportedCounts_;
+  std::vector<TokenDecided> TokenVerdicts_;
   std::shared_ptr<const RoutingTable> Routes_;
   Random Random_;
 };
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -5,6 +5,7 @@
 #include <LibExchange/Request.h>
 #include <LibProfile/RoutingTable.h>
 #include <LibProfile/ServicePolicy.h>
+#include <LibQuota/TokenMessages.h>
 #include <LibUpstream/AttemptOutcome.h>
 #include <LibUpstream/InstanceRecord.h>
 
@@ -113,6 +114,11 @@
   std::vector<RetryCount> Retries_;
 };
 
+/// A control member answered a SendTokenRequest.
+struct TokensGranted {
+  TokenGrant Grant_;
+};
+
 /// The daemon shuts down. Without times, new requests are refused and those in
 /// progress finish.
 struct DrainStarted {
@@ -129,7 +135,8 @@
     std::variant<RequestReceived, CallerDisconnected, AttemptFinished,
                  CatalogChanged, RoutingChanged, InstanceChanged, LoadReported,
                  EjectionsChanged, FingerprintsQuarantined, ClaimDecided,
-                 HomesChanged, ForwardAnswered, RetriesGranted, DrainStarted>;
+                 HomesChanged, ForwardAnswered, RetriesGranted, DrainStarted,
+                 TokensGranted>;
 
 // Effects: commands to the host of the gateway.
 
@@ -196,6 +203,28 @@
   ServiceName Service_;
 };
 
+/// Requests tokens of limited teams from the control member.
+struct SendTokenRequest {
+  TokenRequest Request_;
+};
+
+/// The limiter of a team started or ended to refuse requests.
+struct TeamRefusalChanged {
+  TeamName Team_;
+  bool IsRefusing_ = false;
+};
+
+/// Requests of limited teams since the start changed.
+struct TeamLimiterCounts {
+  EventCount TokensGranted_;
+  EventCount TokensReturned_;
+  EventCount OverLimit_;
+  EventCount Waited_;
+
+  friend bool operator==(const TeamLimiterCounts &,
+                         const TeamLimiterCounts &) = default;
+};
+
 /// Forwards the request to another gateway.
 struct ForwardRequest {
   MemberId Home_;
@@ -237,6 +266,7 @@
 using GatewayEffect =
     std::variant<SendAttempt, CancelAttempt, AnswerCaller, ClaimKey, ReleaseKey,
                  FinishKey, ReportAttempt, ForwardRequest, CancelForward,
-                 RecordStep, ReportRetry, ReportOverdue>;
+                 RecordStep, ReportRetry, ReportOverdue, SendTokenRequest,
+                 TeamRefusalChanged, TeamLimiterCounts>;
 
 } // namespace jaybridge
--- a/Libraries/LibRouting/RequestExecution.h
+++ b/Libraries/LibRouting/RequestExecution.h
@@ -33,6 +33,9 @@
   /// Empty for a request that names its service.
   const RouteName &route() const { return Route_; }
   void setRoute(RouteName Route) { Route_ = std::move(Route); }
+  /// Empty for a request without a key of a team.
+  const TeamName &team() const { return Team_; }
+  void setTeam(TeamName Team) { Team_ = std::move(Team); }
   Fingerprint fingerprint() const { return Fingerprint_; }
   bool isRepeatable() const { return IsRepeatable_; }
   bool isHedgingAllowed() const { return IsHedgingAllowed_; }
@@ -79,6 +82,7 @@
   TimePoint Deadline_;
   ClassWeight Weight_;
   RouteName Route_;
+  TeamName Team_;
   Fingerprint Fingerprint_;
   bool IsRepeatable_;
   bool IsHedgingAllowed_;
--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -82,6 +82,9 @@
                                       randomSeed(DaemonSettings, 2),
                                       monotonicNow()));
   ControlSettings Control;
+  // 28 bits keep the messages short.
+  Control.FirstTokenRound_ =
+      TokenRound(Random(randomSeed(DaemonSettings, 3)).next() >> 36);
   Control.Self_ = RegistryPeers::memberIdOf(DaemonSettings.PeerAddress_);
   Control.Domain_ = DaemonSettings.Domain_;
   Control.RetryAllowance_ = DaemonSettings.RetryAllowance_;
--- a/Services/jaybridged/ControlDaemon.h
+++ b/Services/jaybridged/ControlDaemon.h
@@ -9,6 +9,7 @@
 #include <LibRegistry/ControlService.h>
 #include <LibRuntime/EventLoopThread.h>
 #include <LibWire/RegistryCodec.h>
+#include <Platform/ConfigurationDocument.h>
 #include <Platform/ControlApi.h>
 
 #include <functional>
@@ -35,7 +36,8 @@
   void logReload();
 
 private:
-  using Service = ControlService<RegistryWireCodec>;
+  using Service =
+      ControlService<RegistryWireCodec, platform::ConfigurationDocument>;
 
   ControlDaemon(const Settings &DaemonSettings,
                 std::unique_ptr<StorageThread> Storage, Service Role,
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -156,6 +156,15 @@
   Sinks.RetrySpent_ = [this](ReportRetry Spent) {
     postToSubscription(std::move(Spent));
   };
+  Sinks.TokensNeeded_ = [this](SendTokenRequest Needed) {
+    postToSubscription(std::move(Needed));
+  };
+  Sinks.TeamRefusal_ = [this](const TeamRefusalChanged &Changed) {
+    logTeamRefusal(Changed);
+  };
+  Sinks.LimiterCounts_ = [this](const TeamLimiterCounts &Counts) {
+    setLimiterMetrics(Counts);
+  };
   Sinks.Record_ = [this](const RecordStep &Step) { logRequestStep(Step); };
   Sinks.Received_ = [this](const Request &Received) {
     Log_.write(LogLevel::Info, "request",
@@ -251,6 +260,27 @@
   RequestPath_->post(std::move(Granted));
 }
 
+void GatewayDaemon::apply(TokensGranted &Granted) {
+  RequestPath_->post(std::move(Granted));
+}
+
+void GatewayDaemon::logTeamRefusal(const TeamRefusalChanged &Changed) {
+  Log_.write(LogLevel::Info, "team-limit",
+             {{"team", Changed.Team_.text()},
+              {"refusing", Changed.IsRefusing_ ? "true" : "false"}});
+}
+
+void GatewayDaemon::setLimiterMetrics(const TeamLimiterCounts &Counts) {
+  auto Set = [this](const char *Name, EventCount Value) {
+    Metrics_.gauge(MetricName(Name))
+        .set(GaugeValue(static_cast<double>(Value.value())));
+  };
+  Set("jaybridge_team_tokens_granted", Counts.TokensGranted_);
+  Set("jaybridge_team_tokens_returned", Counts.TokensReturned_);
+  Set("jaybridge_team_requests_over_limit", Counts.OverLimit_);
+  Set("jaybridge_team_requests_waited", Counts.Waited_);
+}
+
 void GatewayDaemon::apply(const ControlMemberChanged &Changed) {
   Log_.writeStateChange(LogLevel::Info, "control-member",
                         Changed.Member_ ? Changed.Member_->text() : "none");
--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -48,9 +48,12 @@
   void apply(EjectionsChanged &Changed);
   void apply(FingerprintsQuarantined &Changed);
   void apply(RetriesGranted &Granted);
+  void apply(TokensGranted &Granted);
   void apply(const ControlMemberChanged &Changed);
   void apply(const DocumentRejected &Rejected);
   void logRequestStep(const RecordStep &Step);
+  void logTeamRefusal(const TeamRefusalChanged &Changed);
+  void setLimiterMetrics(const TeamLimiterCounts &Counts);
   void observeAttempt(ReportAttempt Attempt);
   /// Puts the event into the subscription's ring; it is dropped and counted
   /// when the ring is full.
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -156,6 +156,24 @@
   return std::nullopt;
 }
 
+std::optional<GatewayEvent> RequestPath::deliver(SendTokenRequest &Effect) {
+  if (Sinks_.TokensNeeded_)
+    Sinks_.TokensNeeded_(std::move(Effect));
+  return std::nullopt;
+}
+
+std::optional<GatewayEvent> RequestPath::deliver(TeamRefusalChanged &Effect) {
+  if (Sinks_.TeamRefusal_)
+    Sinks_.TeamRefusal_(std::move(Effect));
+  return std::nullopt;
+}
+
+std::optional<GatewayEvent> RequestPath::deliver(TeamLimiterCounts &Effect) {
+  if (Sinks_.LimiterCounts_)
+    Sinks_.LimiterCounts_(Effect);
+  return std::nullopt;
+}
+
 std::optional<GatewayEvent> RequestPath::deliver(ForwardRequest &Effect) {
   RequestId Id = Effect.Request_->Id_;
   if (Sinks_.Forward_(std::move(Effect)))
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -29,6 +29,10 @@
   std::function<void(ReportOverdue)> Overdue_;
   /// May be empty.
   std::function<void(ReportRetry)> RetrySpent_;
+  /// May be empty, as are the next two, without limits of teams.
+  std::function<void(SendTokenRequest)> TokensNeeded_;
+  std::function<void(TeamRefusalChanged)> TeamRefusal_;
+  std::function<void(TeamLimiterCounts)> LimiterCounts_;
   std::function<bool(ForwardRequest)> Forward_;
   std::function<void(CancelForward)> CancelForward_;
   /// Answer to a request that another daemon forwarded to this one.
@@ -102,6 +106,9 @@
   std::optional<GatewayEvent> deliver(ReportAttempt &Effect);
   std::optional<GatewayEvent> deliver(ReportOverdue &Effect);
   std::optional<GatewayEvent> deliver(ReportRetry &Effect);
+  std::optional<GatewayEvent> deliver(SendTokenRequest &Effect);
+  std::optional<GatewayEvent> deliver(TeamRefusalChanged &Effect);
+  std::optional<GatewayEvent> deliver(TeamLimiterCounts &Effect);
   std::optional<GatewayEvent> deliver(ForwardRequest &Effect);
   std::optional<GatewayEvent> deliver(CancelForward &Effect);
   std::optional<GatewayEvent> deliver(RecordStep &Effect);
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -25,6 +25,19 @@
   return RoutingTable::create(std::move(Draft));
 }
 
+TeamLimits LineDocument::readTeamLimits(const std::string &Text) {
+  TeamLimits Limits;
+  std::istringstream Words(Text);
+  std::string Word;
+  while (Words >> Word)
+    if (const auto Colon = Word.find(':'); Colon != std::string::npos) {
+      const double Rate = std::stod(Word.substr(Colon + 1));
+      Limits[TeamName(Word.substr(0, Colon))] = {RequestRate(Rate),
+                                                 RequestTokens(Rate)};
+    }
+  return Limits;
+}
+
 MemberId RegistryFleet::member(std::size_t Index) {
   return MemberId("10.0.0." + std::to_string(Index + 1) + ":7000");
 }
@@ -197,6 +210,11 @@
   handle(Gateway, RegistrySubscriptionEvent(ReportRetry{Service}));
 }
 
+void RegistryFleet::requestTokens(std::size_t Gateway, TokenRequest Request) {
+  handle(Gateway,
+         RegistrySubscriptionEvent(SendTokenRequest{std::move(Request)}));
+}
+
 void RegistryFleet::handle(std::size_t Index, const ControlEvent &Event) {
   std::vector<ControlEffect> Effects;
   Members_[Index].Running_->handle(Event, Now_, Effects);
@@ -288,6 +306,9 @@
             [&](FingerprintsQuarantined &Changed) {
               Updated.CrashingRequests_ = std::move(Changed);
             },
+            [&](TokensGranted &Granted) {
+              Updated.Grants_.push_back(std::move(Granted.Grant_));
+            },
             [&](RetriesGranted &Granted) {
               for (const RetryCount &Count : Granted.Retries_)
                 Updated.RetriesGranted_ += Count.Retries_;
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -18,6 +18,9 @@
 /// "/".
 struct LineDocument {
   static Result<RoutingTable> read(const std::string &Text);
+  /// The service name "NAME:RATE" gives a team of that name a limit, with the
+  /// same burst.
+  static TeamLimits readTeamLimits(const std::string &Text);
 };
 
 /// Simulates control members and gateways in logical time. Messages have a
@@ -25,7 +28,7 @@
 /// started with or without their data folder, and partitioned from each other.
 class RegistryFleet {
 public:
-  using Control = ControlService<RegistryWireCodec>;
+  using Control = ControlService<RegistryWireCodec, LineDocument>;
   using Gateway = RegistrySubscription<LineDocument>;
 
   static constexpr Duration MessageLatency = 1ms;
@@ -86,6 +89,12 @@
   /// Reports the outcome of an attempt to the gateway.
   void finishAttempt(std::size_t Gateway, const ReportAttempt &Attempt);
   void spendRetry(std::size_t Gateway, const ServiceName &Service);
+  void requestTokens(std::size_t Gateway, TokenRequest Request);
+  /// What the gateway received since the last call.
+  std::vector<TokenGrant> takeGrants(std::size_t Gateway) {
+    return std::exchange(Views_[Gateway].Grants_, {});
+  }
+  TimePoint now() const { return Now_; }
 
   /// Updates with the whole registry that members sent to gateways.
   std::size_t fullUpdateCount() const { return FullUpdateCount_; }
@@ -111,6 +120,7 @@
     std::optional<MemberId> FollowedMember_;
     EventCount RetriesGranted_;
     FingerprintsQuarantined CrashingRequests_;
+    std::vector<TokenGrant> Grants_;
     std::map<ServiceName, std::vector<InstanceId>> Ejected_;
   };
   const View &view(std::size_t Index) const { return Views_[Index]; }
