--- a/Libraries/LibExchange/Answer.cpp
+++ b/Libraries/LibExchange/Answer.cpp
@@ -62,6 +62,8 @@
     return "crashes-upstreams";
   case RefusalReason::HomeLost:
     return "home-lost";
+  case RefusalReason::Unauthorized:
+    return "unauthorized";
   case RefusalReason::RateLimited:
     return "rate-limited";
   }
@@ -70,6 +72,7 @@
 
 StatusCode statusOf(const Refusal &Refused) {
   constexpr StatusCode BadRequest(400);
+  constexpr StatusCode Unauthorized(401);
   constexpr StatusCode NotFound(404);
   constexpr StatusCode Conflict(409);
   constexpr StatusCode ContentTooLarge(413);
@@ -81,6 +84,8 @@
   switch (Refused.Reason_) {
   case RefusalReason::UnknownService:
     return NotFound;
+  case RefusalReason::Unauthorized:
+    return Unauthorized;
   case RefusalReason::BadRequest:
   case RefusalReason::KeyInvalid:
     return BadRequest;
--- a/Libraries/LibRouting/Gateway.cpp
+++ b/Libraries/LibRouting/Gateway.cpp
@@ -88,8 +88,17 @@
       hostNameOf(Received.Authority_),
       std::string_view(Received.Target_).substr(0, Received.Target_.find('?')));
   if (!Matched)
-    return refuseNew(Received, RefusalReason::UnknownService, Out);
+    return refuseNew(
+        Received,
+        ControlContact_.confirmedReason(RefusalReason::UnknownService, Now),
+        Out);
+  const CallerAuthentication Caller(Routes_->teams(), *Matched, Received);
+  if (Caller.isRefused())
+    return refuseNew(
+        Received,
+        ControlContact_.confirmedReason(RefusalReason::Unauthorized, Now), Out);
   auto Routed = std::make_shared<Request>(Received);
+  Caller.identify(*Routed);
   Routed->Service_ = chooseService(*Matched);
   TimePoint Deadline = Now + Matched->Profile_.patience();
   if (Received.Deadline_)
@@ -97,6 +106,8 @@
   RequestExecution Execution(std::move(Routed), Matched->Profile_, Deadline);
   Execution.limitAttempts(Matched->Values_.MaxAttempts_);
   Execution.setRoute(Matched->Values_.Name_);
+  if (const Team *Owner = Caller.team(); Owner && Owner->Priority_)
+    Execution.setWeight(classWeightOf(*Owner->Priority_));
   open(Incoming, std::move(Execution), Now, Out);
 }
 
@@ -136,11 +147,11 @@
   if (Dispatcher_.requestCount() >= Settings_.MaxRequests_.value() &&
       !Dispatcher_.shedLowerWeight(NewExecution.weight(), Now, Out))
     return refuseNew(NewExecution.request(), RefusalReason::Overloaded, Out);
-  if (Incoming.IsForwarded_ || !Limiter_.isLimited(NewExecution.team()))
+  const std::optional<TeamName> &Team = NewExecution.team();
+  if (Incoming.IsForwarded_ || !Team || !Limiter_.isLimited(*Team))
     return openAdmitted(Incoming, std::move(NewExecution), Now, Out);
   const Request &Received = *Incoming.Request_;
-  const TokenVerdict Verdict =
-      Limiter_.admit(Received.Id_, NewExecution.team(), Now);
+  const TokenVerdict Verdict = Limiter_.admit(Received.Id_, *Team, Now);
   if (std::holds_alternative<TokenSpent>(Verdict))
     return openAdmitted(Incoming, std::move(NewExecution), Now, Out);
   if (std::holds_alternative<AwaitsToken>(Verdict)) {
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibCore/DecisionRole.h>
+#include <LibRouting/CallerAuthentication.h>
+#include <LibRouting/ControlContact.h>
 #include <LibRouting/GatewaySettings.h>
 #include <LibRouting/RequestDispatcher.h>
 #include <LibRouting/TeamLimiter.h>
@@ -73,6 +75,9 @@
   }
   void on(const DrainStarted &Incoming, TimePoint Now, Effects &Out);
   void on(const TokensGranted &Incoming, TimePoint Now, Effects &Out);
+  void on(const ControlContactChanged &Incoming, TimePoint Now, Effects &) {
+    ControlContact_.update(Incoming.IsConfirmed_, Now);
+  }
 
   /// Admits or refuses a request whose service and profile are known.
   void open(const RequestReceived &Incoming, RequestExecution NewExecution,
@@ -126,6 +131,7 @@
   TeamLimiterCounts ReportedCounts_;
   std::vector<TokenDecided> TokenVerdicts_;
   std::shared_ptr<const RoutingTable> Routes_;
+  ControlContact ControlContact_;
   Random Random_;
 };
 
--- a/Libraries/LibRouting/RequestExecution.h
+++ b/Libraries/LibRouting/RequestExecution.h
@@ -30,12 +30,14 @@
   }
   TimePoint deadline() const { return Deadline_; }
   ClassWeight weight() const { return Weight_; }
+  /// None if the configuration has no teams, and for public routes also if the
+  /// key is unknown.
+  const std::optional<TeamName> &team() const { return Request_->Team_; }
+  /// Replaces the weight of the route.
+  void setWeight(ClassWeight Weight) { Weight_ = Weight; }
   /// Empty for a request that names its service.
   const RouteName &route() const { return Route_; }
   void setRoute(RouteName Route) { Route_ = std::move(Route); }
-  /// Empty for a request without a key of a team.
-  const TeamName &team() const { return Team_; }
-  void setTeam(TeamName Team) { Team_ = std::move(Team); }
   Fingerprint fingerprint() const { return Fingerprint_; }
   bool isRepeatable() const { return IsRepeatable_; }
   bool isHedgingAllowed() const { return IsHedgingAllowed_; }
@@ -82,7 +84,6 @@
   TimePoint Deadline_;
   ClassWeight Weight_;
   RouteName Route_;
-  TeamName Team_;
   Fingerprint Fingerprint_;
   bool IsRepeatable_;
   bool IsHedgingAllowed_;
