LibQuota: Collect the answers of a grant by request

A member looked for the message to each gateway in a list, so that the work for a grant of the leader grew with the square of the number of gateways. They are now found in a map.

--- a/Libraries/LibQuota/TokenRelay.cpp
+++ b/Libraries/LibQuota/TokenRelay.cpp
@@ -66,6 +66,8 @@
 void TokenRelay::handle(const TokenGrant &Grant, TimePoint Now, Grants &Out) {
   if (!Holder_.accept(Grant, Now))
     return;
+  // What a gateway gets for one of its requests shares a message.
+  std::map<std::pair<MemberId, TokenRound>, std::vector<TokenShare>> Answers;
   for (const TokenShare &Share : Grant.Shares_) {
     const auto Known = Teams_.find(Share.Team_);
     if (Known == Teams_.end())
@@ -85,21 +87,13 @@
       if (IsAnswered && Wish.Missing_ > RequestTokens{})
         Passed.RetryAfter_ = Share.RetryAfter_.value_or(Duration{});
       if (IsAnswered || Granted > RequestTokens{})
-        addShare(Wish.Gateway_, Wish.Round_, std::move(Passed), Out);
+        Answers[{Wish.Gateway_, Wish.Round_}].push_back(std::move(Passed));
       return IsAnswered;
     });
     PendingCount_ -= Before - Pending.size();
   }
-}
-
-void TokenRelay::addShare(const MemberId &Gateway, TokenRound Round,
-                          TokenShare Share, Grants &Out) {
-  for (GatewayTokenGrant &Known : Out)
-    if (Known.To_ == Gateway && Known.Grant_.Round_ == Round) {
-      Known.Grant_.Shares_.push_back(std::move(Share));
-      return;
-    }
-  Out.push_back({Gateway, {Round, {std::move(Share)}}});
+  for (auto &[Request, Shares] : Answers)
+    Out.push_back({Request.first, {Request.second, std::move(Shares)}});
 }
 
 void TokenRelay::changeLeader() {
--- a/Libraries/LibQuota/TokenRelay.h
+++ b/Libraries/LibQuota/TokenRelay.h
@@ -59,8 +59,6 @@
   RequestTokens passOn(const TeamName &Name, Team &Limited,
                        const MemberId &Gateway, TokenRound Round,
                        RequestTokens Wanted, TimePoint Now);
-  void addShare(const MemberId &Gateway, TokenRound Round, TokenShare Share,
-                Grants &Out);
 
   TokenHolder Holder_;
   std::map<TeamName, Team> Teams_;
