--- a/Libraries/LibRouting/TeamLimiter.cpp
+++ b/Libraries/LibRouting/TeamLimiter.cpp
@@ -37,7 +37,7 @@
   auto Token = Tokens_.take(Team, Now);
   if (!Token)
     return false;
-  Open_.insert_or_assign(Id, OpenRequest{Team, std::move(*Token)});
+  Open_.insert_or_assign(Id, OpenRequest{Team, *Token});
   return true;
 }
 
