--- a/Libraries/LibExchange/Answer.cpp
+++ b/Libraries/LibExchange/Answer.cpp
@@ -91,8 +91,6 @@
     return NotFound;
   case RefusalReason::Unauthorized:
     return Unauthorized;
-  case RefusalReason::RateLimited:
-    return TooManyRequests;
   case RefusalReason::BadRequest:
   case RefusalReason::KeyInvalid:
     return BadRequest;
@@ -105,6 +103,9 @@
   case RefusalReason::InProgress:
   case RefusalReason::AnswerNotStored:
     return Conflict;
+  case RefusalReason::RateLimited:
+    return Refused.Outcome_ == Outcome::NotRun ? TooManyRequests
+                                               : GatewayTimeout;
   case RefusalReason::AnswerTooLarge:
   case RefusalReason::AnswerCutShort:
   case RefusalReason::ConnectionLost:
--- a/Libraries/LibRouting/Gateway.h
+++ b/Libraries/LibRouting/Gateway.h
@@ -5,6 +5,7 @@
 #include <LibRouting/ControlContact.h>
 #include <LibRouting/GatewaySettings.h>
 #include <LibRouting/RequestDispatcher.h>
+#include <LibRouting/TeamLimiter.h>
 
 #include <deque>
 
@@ -28,15 +29,14 @@
   static Result<Gateway> create(GatewaySettings Settings, RandomSeed Seed);
 
   void handle(const Event &Incoming, TimePoint Now, Effects &Out);
-  void advance(TimePoint Now, Effects &Out) {
-    expireHeldRequests(Now, Out);
-    Dispatcher_.advance(Now, Out);
-  }
+  void advance(TimePoint Now, Effects &Out);
   std::optional<TimePoint> nextDeadline() const {
     auto Next = Dispatcher_.nextDeadline();
     if (!HeldRequests_.empty() &&
         (!Next || HeldRequests_.front().ExpiresAt_ < *Next))
       Next = HeldRequests_.front().ExpiresAt_;
+    if (const auto Due = Limiter_.nextDeadline())
+      Next = std::min(Next.value_or(*Due), *Due);
     return Next;
   }
 
@@ -46,7 +46,8 @@
 
   /// True when a drain has started and no request or attempt is in progress.
   bool isDrained() const {
-    return Drain_ && HeldRequests_.empty() && Dispatcher_.isIdle();
+    return Drain_ && HeldRequests_.empty() && LimitedRequests_.empty() &&
+           Dispatcher_.isIdle();
   }
   std::size_t requestCount() const { return Dispatcher_.requestCount(); }
 
@@ -59,7 +60,7 @@
       : Settings_(std::move(Settings)),
         Dispatcher_(Settings_.Domain_, Settings_.QueueCapacity_,
                     Settings_.RetryBounds_, Seed, Settings_.Placement_),
-        Random_(Seed) {}
+        Limiter_(Seed), Random_(Seed) {}
 
   void on(const RequestReceived &Incoming, TimePoint Now, Effects &Out);
   void on(const CallerDisconnected &Incoming, TimePoint Now, Effects &Out);
@@ -78,6 +79,7 @@
   }
   void on(const DrainStarted &Incoming, TimePoint Now, Effects &Out);
   void on(const ExplanationRequest &Incoming, TimePoint Now, Effects &Out);
+  void on(const TokensGranted &Incoming, TimePoint Now, Effects &Out);
   void on(const ControlContactChanged &Incoming, TimePoint Now, Effects &) {
     ControlContact_.update(Incoming.IsConfirmed_, Now);
   }
@@ -85,13 +87,24 @@
   /// Admits or refuses a request whose service and profile are known.
   void open(const RequestReceived &Incoming, RequestExecution NewExecution,
             TimePoint Now, Effects &Out);
+  /// Forwards or dispatches a request that may be sent to an instance.
+  void openAdmitted(const RequestReceived &Incoming,
+                    RequestExecution NewExecution, TimePoint Now, Effects &Out);
+  /// Applies verdicts about requests that waited for a token.
+  void applyTokenVerdicts(TimePoint Now, Effects &Out);
+  void refuseLimited(const Request &Received, const TokenVerdict &Verdict,
+                     Effects &Out);
+  /// Returns the tokens of requests that were answered as not run since the
+  /// given effect, and passes on the limiter's messages.
+  void settleTokens(std::size_t FirstEffect, TimePoint Now, Effects &Out);
   /// Finds the route of a request that names no service and opens it.
   void openByRoute(const RequestReceived &Incoming, TimePoint Now,
                    Effects &Out);
   /// Draws a service of the route at random, by weight.
   const ServiceName &chooseService(const Route &Matched);
   /// Refuses a request that the dispatcher does not track yet.
-  void refuseNew(const Request &Received, RefusalReason Reason, Effects &Out);
+  void refuseNew(const Request &Received, RefusalReason Reason, Effects &Out,
+                 std::optional<Duration> RetryAfter = std::nullopt);
   /// Forwards the request to a home; false when there is no home or no time
   /// left, or when it was forwarded too often.
   bool forward(RequestExecution &Execution, TimePoint Now, Effects &Out);
@@ -122,6 +135,15 @@
   void expireHeldRequests(TimePoint Now, Effects &Out);
 
   std::deque<HeldRequest> HeldRequests_;
+  struct LimitedRequest {
+    RequestReceived Incoming_;
+    RequestExecution Execution_;
+  };
+  /// Requests that wait for a token of their team.
+  std::map<RequestId, LimitedRequest> LimitedRequests_;
+  TeamLimiter Limiter_;
+  TeamLimiterCounts ReportedCounts_;
+  std::vector<TokenDecided> TokenVerdicts_;
   std::shared_ptr<const RoutingTable> Routes_;
   ControlContact ControlContact_;
   Random Random_;
--- a/Libraries/LibRouting/GatewayMessages.h
+++ b/Libraries/LibRouting/GatewayMessages.h
@@ -5,6 +5,7 @@
 #include <LibExchange/Request.h>
 #include <LibProfile/RoutingTable.h>
 #include <LibProfile/ServicePolicy.h>
+#include <LibQuota/TokenMessages.h>
 #include <LibRouting/RoutingExplanation.h>
 #include <LibUpstream/AttemptOutcome.h>
 #include <LibUpstream/InstanceRecord.h>
@@ -120,6 +121,11 @@
   std::vector<RetryCount> Retries_;
 };
 
+/// A control member answered a SendTokenRequest.
+struct TokensGranted {
+  TokenGrant Grant_;
+};
+
 /// The daemon shuts down. Without times, new requests are refused and those in
 /// progress finish.
 struct DrainStarted {
@@ -146,7 +152,7 @@
                  CatalogChanged, RoutingChanged, InstanceChanged, LoadReported,
                  EjectionsChanged, FingerprintsQuarantined, ClaimDecided,
                  HomesChanged, ForwardAnswered, RetriesGranted, DrainStarted,
-                 ExplanationRequest, ControlContactChanged>;
+                 ExplanationRequest, TokensGranted, ControlContactChanged>;
 
 // Effects: commands to the host of the gateway.
 
@@ -220,6 +226,28 @@
   bool IsShort_ = false;
 };
 
+/// Requests tokens of limited teams from the control member.
+struct SendTokenRequest {
+  TokenRequest Request_;
+};
+
+/// The limiter of a team started or ended to refuse requests.
+struct TeamRefusalChanged {
+  TeamName Team_;
+  bool IsRefusing_ = false;
+};
+
+/// Requests of limited teams since the start changed.
+struct TeamLimiterCounts {
+  EventCount TokensGranted_;
+  EventCount TokensReturned_;
+  EventCount OverLimit_;
+  EventCount Waited_;
+
+  friend bool operator==(const TeamLimiterCounts &,
+                         const TeamLimiterCounts &) = default;
+};
+
 /// Forwards the request to another gateway.
 struct ForwardRequest {
   MemberId Home_;
@@ -268,6 +296,7 @@
     std::variant<SendAttempt, CancelAttempt, AnswerCaller, ClaimKey, ReleaseKey,
                  FinishKey, ReportAttempt, ForwardRequest, CancelForward,
                  RecordStep, ReportRetry, ReportOverdue, CapacityChanged,
-                 ExplanationResponse>;
+                 ExplanationResponse, SendTokenRequest, TeamRefusalChanged,
+                 TeamLimiterCounts>;
 
 } // namespace jaybridge
