--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -91,6 +91,24 @@
     return Parsed;
   }
 
+  /// Reads a number that may have a fraction, as platforms state their bounds.
+  double readDecimal(const NumberRange &Range) {
+    const std::string Value =
+        readText(Range.Flag_, std::to_string(Range.Default_));
+    double Parsed = 0;
+    const char *End = Value.data() + Value.size();
+    auto [ParseEnd, ParseError] = std::from_chars(Value.data(), End, Parsed);
+    if (ParseError == std::errc() && ParseEnd == End &&
+        Parsed >= static_cast<double>(Range.Min_) &&
+        Parsed <= static_cast<double>(Range.Max_))
+      return Parsed;
+    recordError(invalidValueError(Range.Flag_, Value,
+                                  "a number from " +
+                                      std::to_string(Range.Min_) + " to " +
+                                      std::to_string(Range.Max_)));
+    return 0;
+  }
+
   std::vector<Endpoint> readAddresses(const std::string &Flag) {
     std::vector<Endpoint> Parsed;
     for (const std::string &Address : readList(Flag))
@@ -196,7 +214,8 @@
   constexpr std::uint64_t MemoryOfTheRest = 44;
   constexpr std::uint64_t MinDefault = 16;
   constexpr std::uint64_t DefaultWithoutMemoryLimit = 128;
-  const std::uint64_t MemoryLimit = Reader.readNumber(MemoryLimitRange);
+  const auto MemoryLimit =
+      static_cast<std::uint64_t>(Reader.readDecimal(MemoryLimitRange));
   if (std::uint64_t Limit = Reader.readNumber(ReceiveLimitRange); Limit > 0)
     return ByteCount(std::max(Limit, Mebibyte));
   if (MemoryLimit == 0)
@@ -267,7 +286,8 @@
     Parsed.CallerConnectionsLimit_ = EventCount(Limit);
   Parsed.QueueLimit_ = QueueLimit(
       static_cast<std::uint32_t>(Reader.readNumber(QueueLimitRange)));
-  Parsed.RetryAllowance_ = EventCount(Reader.readNumber(RetryAllowanceRange));
+  Parsed.RetryAllowance_ = EventCount(
+      static_cast<std::uint64_t>(Reader.readDecimal(RetryAllowanceRange)));
   if (const std::string File = Reader.readText("address-file"); !File.empty())
     Parsed.AddressFile_ = File;
   Parsed.Placement_ = Reader.readPlacement("placement");
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -74,6 +74,7 @@
                      "1000001", "from 0 to 1000000"},
         SettingsCase{"NoQueue", "queue-limit", "0", "from 1 to 1000000"},
         SettingsCase{"NoAllowance", "retry-allowance", "0", ""},
+        SettingsCase{"FractionalAllowance", "retry-allowance", "22.5", ""},
         SettingsCase{"AllowanceTooGreat", "retry-allowance", "1000001",
                      "from 0 to 1000000"},
         SettingsCase{"Placement", "placement", "cost", ""},
