LibQuota: Reserve the use of silent holders for three seconds

Cause: a grantor reserved the use of each holder that became silent for 30 s, also when the holder had moved to another member, whose grants then came from what was left of the limit. Change: 3 s, by which time a holder that lives follows another member. What a gateway that is cut off for longer may add to the limit is in docs/design/team-limits.md.

--- a/Libraries/LibQuota/TokenMessages.h
+++ b/Libraries/LibQuota/TokenMessages.h
@@ -34,8 +34,10 @@
 /// the holder may spend without contact. A holder starts that at most 150 ms
 /// earlier, which may exceed the limit by 0.15 of the rate.
 inline constexpr Duration TokenHolderTimeout = 400ms;
-/// A grantor keeps the reservation of a silent holder for this time.
-inline constexpr Duration TokenReservationDuration = 30s;
+/// A grantor keeps the reservation of a silent holder for this time. A holder
+/// that lives has found another grantor by then; a longer reservation would
+/// count its use twice.
+inline constexpr Duration TokenReservationDuration = 3s;
 /// The window of the limit, and of the use that a holder may continue.
 inline constexpr Duration TokenUseWindow = 5s;
 
