LibQuota: Keep no debt for requests spent without contact

Cause: what gateways spend without contact was charged to the bucket of the new leader, which starts empty, as a debt of up to 5 s of the rate. Change: the level ends at zero.

--- a/Libraries/LibQuota/TokenBucket.cpp
+++ b/Libraries/LibQuota/TokenBucket.cpp
@@ -43,9 +43,10 @@
 }
 
 void TokenBucket::reserve(RequestTokens Tokens) {
-  const RequestTokens MaxDebt(Limit_.Rate_.value() * secondsOf(TokenUseWindow));
-  Level_ =
-      std::max(Level_ - Tokens, std::min(Level_, RequestTokens{} - MaxDebt));
+  // Holders without contact spend within the rate, while the bucket gets no
+  // refill or a full one. A debt would refuse what is inside the limit for
+  // seconds after the contact is back.
+  Level_ = std::max(Level_ - Tokens, std::min(Level_, RequestTokens{}));
 }
 
 Duration TokenBucket::timeUntil(RequestTokens Tokens, TimePoint Now) const {
--- a/Libraries/LibQuota/TokenBucket.h
+++ b/Libraries/LibQuota/TokenBucket.h
@@ -27,8 +27,8 @@
   /// Takes whole tokens, at most those wanted, and returns their number.
   RequestTokens take(RequestTokens Wanted);
   void giveBack(RequestTokens Tokens) { Level_ += Tokens; }
-  /// Takes tokens that are spent whether or not they are available. The debt is
-  /// bounded by what refills in TokenUseWindow.
+  /// Takes tokens that are spent whether or not they are available. The level
+  /// does not fall below zero.
   void reserve(RequestTokens Tokens);
   /// Time until the bucket holds this many tokens.
   Duration timeUntil(RequestTokens Tokens, TimePoint Now) const;
