LibQuota: Continue without contact at the use since the first request

What callers saw: gateways that are cut off soon after their start refuse most requests of limited teams (503). Cause: the rate without contact was the mean over 5 s even if the gateway had served for one, with a burst of a single request. Change: the use is taken over the time that it covers and scaled so that all gateways together stay within the rate; a burst of 0.3 s. With 0.5 s and the plain mean the property test failed (719 requests in a window, bound 680), and with 0.15 s and the plain mean too. Evidence: TestLibQuota passes (20).

--- a/Libraries/LibQuota/GatewayTokens.cpp
+++ b/Libraries/LibQuota/GatewayTokens.cpp
@@ -5,6 +5,13 @@
 
 namespace jaybridge {
 
+namespace {
+
+/// Time of the rate without contact that accumulates as a burst.
+constexpr Duration FallbackBurstDuration = 300ms;
+
+} // namespace
+
 void GatewayTokens::setLimits(TeamLimits Limits) {
   Limits_ = std::move(Limits);
   std::erase_if(Teams_, [&](const auto &Known) {
@@ -35,17 +42,24 @@
     return std::nullopt;
   if (!Used.Fallback_) {
     const TimePoint LostAt = Holder_.waitsSince().value_or(Now);
-    const double RefillOfWindow =
-        Limit->second.Rate_.value() *
-        std::chrono::duration<double>(TokenUseWindow).count();
-    const double ShareOfRefill =
-        RefillOfWindow / (RefillOfWindow + Limit->second.Burst_.value());
-    Used.Fallback_.emplace(
-        TeamLimit{RequestRate(Used.Use_.rate(LostAt).value() * ShareOfRefill),
-                  RequestTokens(1)},
-        RequestTokens{}, LostAt + TokenContactTimeout);
+    // The use of all gateways in this time is at most its refill and the burst.
+    // Of that, the refill may continue.
+    const double LimitRate = Limit->second.Rate_.value();
+    const double MostOfAll =
+        LimitRate *
+            std::chrono::duration<double>(Used.Use_.age(LostAt)).count() +
+        Limit->second.Burst_.value();
+    const RequestRate Rate(Used.Use_.total(LostAt).value() * LimitRate /
+                           MostOfAll);
+    // Requests do not arrive evenly: without a burst, half of those at the
+    // mean rate would be refused.
+    const RequestTokens Burst(
+        1 + Rate.value() *
+                std::chrono::duration<double>(FallbackBurstDuration).count());
+    Used.Fallback_.emplace(TeamLimit{Rate, Burst}, RequestTokens{},
+                           LostAt + TokenContactTimeout);
   }
-  Used.Fallback_->refill(RequestTokens(1), Now);
+  Used.Fallback_->refill(Used.Fallback_->capacity(), Now);
   if (Used.Fallback_->take(RequestTokens(1)) < RequestTokens(1))
     return std::nullopt;
   Holder_.reserve(Name, RequestTokens(1));
--- a/Libraries/LibQuota/TokenUse.cpp
+++ b/Libraries/LibQuota/TokenUse.cpp
@@ -5,6 +5,8 @@
 namespace jaybridge {
 
 void TokenUse::record(RequestTokens Tokens, TimePoint Now) {
+  if (!FirstUseAt_)
+    FirstUseAt_ = Now;
   const std::int64_t Slot = slotAt(Now);
   if (Slot - LastSlot_ >= static_cast<std::int64_t>(SlotCount))
     Slots_.fill({});
@@ -31,4 +33,9 @@
                      std::chrono::duration<double>(TokenUseWindow).count());
 }
 
+Duration TokenUse::age(TimePoint Now) const {
+  constexpr Duration MinAge = 1s;
+  return std::clamp(Now - FirstUseAt_.value_or(Now), MinAge, TokenUseWindow);
+}
+
 } // namespace jaybridge
--- a/Libraries/LibQuota/TokenUse.h
+++ b/Libraries/LibQuota/TokenUse.h
@@ -3,6 +3,7 @@
 #include <LibQuota/TokenMessages.h>
 
 #include <array>
+#include <optional>
 
 namespace jaybridge {
 
@@ -13,6 +14,9 @@
   RequestTokens total(TimePoint Now) const;
   /// Mean over the window.
   RequestRate rate(TimePoint Now) const;
+  /// Time that total() covers: the window or, if that is shorter, the time
+  /// since the first use; one second at least.
+  Duration age(TimePoint Now) const;
 
 private:
   static constexpr std::size_t SlotCount = 10;
@@ -23,6 +27,7 @@
 
   std::array<RequestTokens, SlotCount> Slots_{};
   std::int64_t LastSlot_ = 0;
+  std::optional<TimePoint> FirstUseAt_;
 };
 
 } // namespace jaybridge
