--- a/Libraries/LibHTTP/ReceiveBudget.cpp
+++ b/Libraries/LibHTTP/ReceiveBudget.cpp
@@ -12,6 +12,7 @@
 /// A caller that accepts nothing for this time while memory is short is not
 /// expected to read its response.
 constexpr Duration MinSendStall = 10s;
+constexpr int UrgentStallDivisor = 10;
 
 } // namespace
 
@@ -70,12 +71,16 @@
                                                       TimePoint Now) const {
   if (!isExceededBy(Growing))
     return std::nullopt;
+  // Bytes beyond twice the limit would end the process before they stall for
+  // the regular time.
+  const bool IsUrgent = Total_ > Settings_.Limit_ + Settings_.Limit_;
+  const Duration MinStall =
+      IsUrgent ? Settings_.MinStall_ / UrgentStallDivisor : Settings_.MinStall_;
   std::optional<ConnectionId> Chosen;
   double HighestCost = 0;
   for (const auto &[Id, Candidate] : Holders_) {
     const Duration Stalled = Now - Candidate.LastProgress_;
-    if (Candidate.Held_.Incomplete_ == ByteCount() ||
-        Stalled < Settings_.MinStall_)
+    if (Candidate.Held_.Incomplete_ == ByteCount() || Stalled < MinStall)
       continue;
     const double Cost =
         static_cast<double>(Candidate.Held_.Incomplete_.value()) *
--- a/Tests/LibHTTP/TestReceiveBudget.cpp
+++ b/Tests/LibHTTP/TestReceiveBudget.cpp
@@ -107,6 +107,18 @@
             ConnectionId(2));
 }
 
+// Guards against callers that accept nothing and together fill the memory in
+// less time than a slow reader is given.
+TEST(SendBudgetTest, CutsOffEarlierAtTwiceTheLimit) {
+  ReceiveBudget Budget = ReceiveBudget::forSending(ByteCount(16 * Mebibyte));
+  const HeldBytes Waiting{ByteCount(), ByteCount(5 * Mebibyte)};
+  Budget.hold(ConnectionId(1), Waiting, TimePoint());
+  Budget.hold(ConnectionId(2), Waiting, TimePoint() + 900ms);
+  EXPECT_FALSE(Budget.nextCutOff(ConnectionId(2), TimePoint() + 999ms));
+  EXPECT_EQ(Budget.nextCutOff(ConnectionId(2), TimePoint() + 1s),
+            ConnectionId(1));
+}
+
 struct OrderCase {
   const char *Name_;
   /// Methods of the requests; 's' is safe, 'u' is not.
