--- a/Libraries/LibProfile/Team.h
+++ b/Libraries/LibProfile/Team.h
@@ -4,6 +4,7 @@
 #include <LibCore/TeamName.h>
 #include <LibCore/Time.h>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,4 +24,7 @@
   friend bool operator==(const TeamLimit &, const TeamLimit &) = default;
 };
 
+/// Limits of the teams that have one.
+using TeamLimits = std::map<TeamName, TeamLimit>;
+
 } // namespace jaybridge
--- a/Libraries/LibProfile/TeamDirectory.cpp
+++ b/Libraries/LibProfile/TeamDirectory.cpp
@@ -102,4 +102,12 @@
   return Found != Teams_.end() && Found->Name_ == Name ? &*Found : nullptr;
 }
 
+TeamLimits TeamDirectory::limits() const {
+  TeamLimits Limits;
+  for (const Team &Each : Teams_)
+    if (Each.Limit_)
+      Limits.emplace(Each.Name_, *Each.Limit_);
+  return Limits;
+}
+
 } // namespace jaybridge
--- a/Libraries/LibProfile/TeamDirectory.h
+++ b/Libraries/LibProfile/TeamDirectory.h
@@ -44,6 +44,7 @@
   const Team *find(const TeamName &Name) const;
   /// In the order of their names.
   const std::vector<Team> &teams() const { return Teams_; }
+  TeamLimits limits() const;
   bool isEmpty() const { return Teams_.empty(); }
 
 private:
--- a/Libraries/LibQuota/TokenMessages.h
+++ b/Libraries/LibQuota/TokenMessages.h
@@ -13,8 +13,6 @@
 /// Number of a holder's request; its tokens are identified by it.
 using TokenRound = Ordinal<struct TokenRoundTag>;
 
-using TeamLimits = std::map<TeamName, TeamLimit>;
-
 /// A gateway may spend a token for this time after it sent the request.
 inline constexpr Duration GatewayTokenLifetime = 210ms;
 /// A member may pass a token on for this time after it sent the request.
--- a/Libraries/LibRouting/TeamLimiter.cpp
+++ b/Libraries/LibRouting/TeamLimiter.cpp
@@ -10,11 +10,7 @@
     : Tokens_(TokenRound(Random(Seed).next() >> 36)), Random_(Seed) {}
 
 void TeamLimiter::setTeams(const TeamDirectory &Teams) {
-  TeamLimits Limits;
-  for (const Team &Each : Teams.teams())
-    if (Each.Limit_)
-      Limits.emplace(Each.Name_, *Each.Limit_);
-  Tokens_.setLimits(std::move(Limits));
+  Tokens_.setLimits(Teams.limits());
 }
 
 TokenVerdict TeamLimiter::admit(const RequestId &Id, const TeamName &Team,
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -294,15 +294,16 @@
               {"refusing", Changed.IsRefusing_ ? "true" : "false"}});
 }
 
+void GatewayDaemon::setGauge(const std::string &Name, EventCount Value) {
+  Metrics_.gauge(MetricName(Name))
+      .set(GaugeValue(static_cast<double>(Value.value())));
+}
+
 void GatewayDaemon::setLimiterMetrics(const TeamLimiterCounts &Counts) {
-  auto Set = [this](const char *Name, EventCount Value) {
-    Metrics_.gauge(MetricName(Name))
-        .set(GaugeValue(static_cast<double>(Value.value())));
-  };
-  Set("jaybridge_team_tokens_granted", Counts.TokensGranted_);
-  Set("jaybridge_team_tokens_returned", Counts.TokensReturned_);
-  Set("jaybridge_team_requests_over_limit", Counts.OverLimit_);
-  Set("jaybridge_team_requests_waited", Counts.Waited_);
+  setGauge("jaybridge_team_tokens_granted", Counts.TokensGranted_);
+  setGauge("jaybridge_team_tokens_returned", Counts.TokensReturned_);
+  setGauge("jaybridge_team_requests_over_limit", Counts.OverLimit_);
+  setGauge("jaybridge_team_requests_waited", Counts.Waited_);
 }
 
 void GatewayDaemon::apply(const ControlMemberChanged &Changed) {
@@ -320,25 +321,24 @@
 
 std::string GatewayDaemon::metricsText() {
   const RequestPathCounts Counts = RequestPath_->counts();
-  auto Set = [this](const char *Name, EventCount Value) {
-    Metrics_.gauge(MetricName(Name))
-        .set(GaugeValue(static_cast<double>(Value.value())));
-  };
-  Set("jaybridge_requests_answered", Counts.Answered_);
-  Set("jaybridge_requests_refused_not_run", Counts.RefusedNotRun_);
-  Set("jaybridge_requests_refused_ran", Counts.RefusedRan_);
-  Set("jaybridge_requests_refused_unknown", Counts.RefusedUnknown_);
-  Set("jaybridge_requests_refused_for_capacity", Counts.RefusedForCapacity_);
-  Set("jaybridge_requests_refused_unauthorized", Counts.RefusedUnauthorized_);
-  Set("jaybridge_log_lines_dropped", Log_.droppedLineCount());
-  Set("jaybridge_configuration_version", EventCount(AppliedVersion_));
+  setGauge("jaybridge_requests_answered", Counts.Answered_);
+  setGauge("jaybridge_requests_refused_not_run", Counts.RefusedNotRun_);
+  setGauge("jaybridge_requests_refused_ran", Counts.RefusedRan_);
+  setGauge("jaybridge_requests_refused_unknown", Counts.RefusedUnknown_);
+  setGauge("jaybridge_requests_refused_for_capacity",
+           Counts.RefusedForCapacity_);
+  setGauge("jaybridge_requests_refused_unauthorized",
+           Counts.RefusedUnauthorized_);
+  setGauge("jaybridge_log_lines_dropped", Log_.droppedLineCount());
+  setGauge("jaybridge_configuration_version", EventCount(AppliedVersion_));
   for (const auto &[Name, Count] :
        callerMetrics(RequestPath_->callers().counts()))
-    Set(Name.c_str(), Count);
+    setGauge(Name, Count);
   const UpstreamClientCounts Upstreams = RequestPath_->upstreams().counts();
-  Set("jaybridge_upstream_responses_misattributed", Upstreams.Misattributed_);
-  Set("jaybridge_upstream_responses_malformed", Upstreams.Malformed_);
-  Set("jaybridge_upstream_responses_too_large", Upstreams.TooLarge_);
+  setGauge("jaybridge_upstream_responses_misattributed",
+           Upstreams.Misattributed_);
+  setGauge("jaybridge_upstream_responses_malformed", Upstreams.Malformed_);
+  setGauge("jaybridge_upstream_responses_too_large", Upstreams.TooLarge_);
   return Metrics_.text();
 }
 
--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -53,6 +53,7 @@
   void apply(const DocumentRejected &Rejected);
   void logRequestStep(const RecordStep &Step);
   void logTeamRefusal(const TeamRefusalChanged &Changed);
+  void setGauge(const std::string &Name, EventCount Value);
   void setLimiterMetrics(const TeamLimiterCounts &Counts);
   void observeAttempt(ReportAttempt Attempt);
   /// Puts the event into the subscription's ring; it is dropped and counted
