--- a/review/9/run.sh
+++ b/review/10/run.sh
@@ -3,8 +3,8 @@
 # TROUBLE=0 leaves the disruption out.
 FOLDER="$(cd "$(dirname "$0")" && pwd)"
 cd "$FOLDER/../.." || exit 2
-[ -x target/review-2/case-9 ] || { echo "run review/build-2.sh first"; exit 2; }
-timeout -k 2 115 target/review-2/case-9 "$FOLDER/record.txt"
+[ -x target/review-2/case-10 ] || { echo "run review/build-2.sh first"; exit 2; }
+timeout -k 2 115 target/review-2/case-10 "$FOLDER/record.txt"
 CODE=$?
 [ "$CODE" -le 1 ] && exit "$CODE"
 exit 2
--- a/review/standins-2/Case6.cpp
+++ b/review/standins-2/Case6.cc
@@ -1,7 +1,7 @@
 // Callers that read large answers slowly, and a platform that ends a process
 // which uses more memory than its machine has.
 
-#include "Fleet.h"
+#include "Fleet.hh"
 
 #include <csignal>
 
--- a/review/standins-2/Case7.cpp
+++ b/review/standins-2/Case7.cc
@@ -1,7 +1,7 @@
 // A request that ends each instance which runs it comes again after all
 // processes of the core were killed at the same moment and are back.
 
-#include "Fleet.h"
+#include "Fleet.hh"
 
 #include <algorithm>
 
--- a/review/standins-2/Case8.cpp
+++ b/review/standins-2/Case8.cc
@@ -1,7 +1,7 @@
 // One machine of the core is lost at the first start, before the core has
 // formed; another comes in its place.
 
-#include "Fleet.h"
+#include "Fleet.hh"
 
 using namespace review;
 
--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cc
@@ -1,4 +1,4 @@
-#include "Fleet.h"
+#include "Fleet.hh"
 
 #include <algorithm>
 #include <cstdlib>
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.hh
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Http.h"
+#include "Http.hh"
 
 #include <fstream>
 #include <map>
--- a/review/standins-2/Http.cpp
+++ b/review/standins-2/Http.cc
@@ -1,4 +1,4 @@
-#include "Http.h"
+#include "Http.hh"
 
 #include <algorithm>
 #include <cerrno>
