platform, LibSettings: Read each number in every form that a platform writes

What callers saw: nothing was served on a deployment whose GraceS is 6.5. Cause: the templates made milliseconds by joining 000 to GraceS, so that 6.5 became 6.5000, and the daemon read whole numbers only. Each of the two is a fault of its own: with decimals accepted, 150.5000 would have been 150.5 ms. Ruled out: the range. 6.0 s lies inside it and was refused. A whole number, also the port that a template joins to an address, may be written as 6.0. memory-limit-mb keeps its fraction; below 1 it is no longer taken for an unknown amount. What is no time is refused with the flag, the value and the range.

--- a/Libraries/LibSettings/Flags.cpp
+++ b/Libraries/LibSettings/Flags.cpp
@@ -25,7 +25,10 @@
               "true when the whole system starts for the first time");
 DEFINE_string(open_listeners, "",
               "true to accept operators, upstreams and peers without a token");
-DEFINE_string(grace_ms, "", "time limit of a graceful shutdown, milliseconds");
+DEFINE_string(
+    grace_s, "",
+    "time limit of a graceful shutdown, seconds; may have a fraction");
+DEFINE_string(grace_ms, "", "the same in milliseconds; only one may be set");
 DEFINE_string(data_folder, "",
               "data folder; makes this daemon a control member");
 DEFINE_string(address_file, "", "file to write the listening addresses to");
@@ -64,6 +67,7 @@
                                      "status-address",
                                      "first-start",
                                      "open-listeners",
+                                     "grace-s",
                                      "grace-ms",
                                      "failure-domain",
                                      "caller-address",
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -1,7 +1,10 @@
 #include <LibSettings/Settings.h>
 
+#include <LibCore/Verify.h>
+
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace jaybridge {
 
@@ -21,9 +24,9 @@
 /// Default and permitted range of a numeric flag.
 struct NumberRange {
   const char *Flag_;
-  std::uint64_t Default_;
-  std::uint64_t Min_;
-  std::uint64_t Max_;
+  double Default_;
+  double Min_;
+  double Max_;
 };
 
 constexpr NumberRange BodyLimitRange = {"body-limit-bytes", 1048576, 1024,
@@ -38,9 +41,11 @@
 /// 0 stands for a value that follows from the limit of descriptors.
 constexpr NumberRange CallerConnectionsRange = {"caller-connections-limit", 0,
                                                 0, 1000000};
-constexpr NumberRange SeedPeerPortRange = {"seed-peer-port", 0, 0, 65535};
-constexpr NumberRange ShutdownGracePeriodRange = {"grace-ms", 300000, 100,
-                                                  86400000};
+constexpr std::uint16_t MaxPort = 65535;
+constexpr NumberRange SeedPeerPortRange = {"seed-peer-port", 0, 0, MaxPort};
+constexpr NumberRange GraceSecondsRange = {"grace-s", 300, 0.1, 86400};
+constexpr NumberRange GraceMillisecondsRange = {"grace-ms", 300000, 100,
+                                                86400000};
 constexpr NumberRange RetryAllowanceRange = {"retry-allowance", 60, 0, 1000000};
 constexpr NumberRange QueueLimitRange = {"queue-limit", 4096, 1, 1000000};
 
@@ -77,36 +82,36 @@
   }
 
   std::uint64_t readNumber(const NumberRange &Range) {
-    const std::string Value =
-        readText(Range.Flag_, std::to_string(Range.Default_));
-    std::uint64_t Parsed = 0;
-    const char *End = Value.data() + Value.size();
-    auto [ParseEnd, ParseError] = std::from_chars(Value.data(), End, Parsed);
-    if (ParseError != std::errc() || ParseEnd != End || Parsed < Range.Min_ ||
-        Parsed > Range.Max_)
-      recordError(invalidValueError(Range.Flag_, Value,
-                                    "a whole number from " +
-                                        std::to_string(Range.Min_) + " to " +
-                                        std::to_string(Range.Max_)));
-    return Parsed;
+    constexpr const char *Kind = "a whole number";
+    const double Value = readDecimal(Range, Kind);
+    if (!isWhole(Value))
+      recordError(rangeError(Range, Kind));
+    return static_cast<std::uint64_t>(Value);
   }
 
   /// Reads a number that may have a fraction, as platforms state their bounds.
-  double readDecimal(const NumberRange &Range) {
-    const std::string Value =
-        readText(Range.Flag_, std::to_string(Range.Default_));
-    double Parsed = 0;
-    const char *End = Value.data() + Value.size();
-    auto [ParseEnd, ParseError] = std::from_chars(Value.data(), End, Parsed);
-    if (ParseError == std::errc() && ParseEnd == End &&
-        Parsed >= static_cast<double>(Range.Min_) &&
-        Parsed <= static_cast<double>(Range.Max_))
-      return Parsed;
-    recordError(invalidValueError(Range.Flag_, Value,
-                                  "a number from " +
-                                      std::to_string(Range.Min_) + " to " +
-                                      std::to_string(Range.Max_)));
-    return 0;
+  /// Kind and Unit describe the flag in the error message.
+  double readDecimal(const NumberRange &Range,
+                     const std::string &Kind = "a number",
+                     const std::string &Unit = "") {
+    const std::string Value = readText(Range.Flag_);
+    if (Value.empty())
+      return Range.Default_;
+    // A NaN is outside any range.
+    if (const auto Parsed = parseNumber(Value);
+        Parsed && *Parsed >= Range.Min_ && *Parsed <= Range.Max_)
+      return *Parsed;
+    recordError(rangeError(Range, Kind, Unit));
+    return Range.Default_;
+  }
+
+  /// Reads a time whose range is stated in units of Unit.
+  Duration readDuration(const NumberRange &Range, Duration Unit,
+                        const std::string &UnitName) {
+    const double Value = readDecimal(Range, "a time", " " + UnitName);
+    // 1.001 has no exact binary form; truncation would drop its millisecond.
+    return std::chrono::round<Duration>(Value *
+                                        std::chrono::duration<double>(Unit));
   }
 
   std::vector<Endpoint> readAddresses(const std::string &Flag) {
@@ -175,6 +180,42 @@
   const std::optional<Error> &error() const { return FirstError_; }
 
 private:
+  /// Parses a decimal number. A whole number may be written with a fraction of
+  /// zero, such as 6.0.
+  static std::optional<double> parseNumber(const std::string &Text) {
+    double Parsed = 0;
+    const char *End = Text.data() + Text.size();
+    auto [ParseEnd, ParseError] = std::from_chars(Text.data(), End, Parsed);
+    if (ParseError != std::errc() || ParseEnd != End)
+      return std::nullopt;
+    return Parsed;
+  }
+
+  static bool isWhole(double Number) { return Number == std::floor(Number); }
+
+  /// Shortest decimal form without an exponent.
+  static std::string numberText(double Number) {
+    char Digits[32];
+    auto [End, FormatError] = std::to_chars(
+        std::begin(Digits), std::end(Digits), Number, std::chars_format::fixed);
+    JAYBRIDGE_VERIFY(FormatError == std::errc());
+    return {Digits, End};
+  }
+
+  Error rangeError(const NumberRange &Range, const std::string &Kind,
+                   const std::string &Unit = "") const {
+    return invalidValueError(Range.Flag_, readText(Range.Flag_),
+                             Kind + " from " + numberText(Range.Min_) + " to " +
+                                 numberText(Range.Max_) + Unit);
+  }
+
+  static std::optional<Port> parsePort(const std::string &Text) {
+    const auto Number = parseNumber(Text);
+    if (!Number || *Number < 0 || *Number > MaxPort || !isWhole(*Number))
+      return std::nullopt;
+    return Port(static_cast<std::uint16_t>(*Number));
+  }
+
   static bool isValidName(const std::string &Value) {
     return !Value.empty() && Value.size() <= MaxNameLength &&
            Value.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
@@ -183,9 +224,11 @@
   }
 
   Endpoint parseEndpoint(const std::string &Flag, const std::string &Value) {
-    auto Parsed = Endpoint::create(Value);
-    if (Parsed)
-      return Parsed.takeValue();
+    // Endpoint::create() would refuse a port that a template writes as 7540.0.
+    if (const std::size_t Colon = Value.rfind(':'); Colon != std::string::npos)
+      if (const auto Number = parsePort(Value.substr(Colon + 1)))
+        if (auto Parsed = Endpoint::create(Value.substr(0, Colon), *Number))
+          return Parsed.takeValue();
     recordError(invalidValueError(Flag, Value,
                                   "A.B.C.D:PORT with a port from 0 to 65535"));
     return {};
@@ -211,19 +254,28 @@
 /// Bytes that requests may hold together. 44 MB of the process's memory remain
 /// for everything else, among it responses that wait to be written.
 ByteCount readReceiveLimit(SettingsReader &Reader) {
-  constexpr std::uint64_t MemoryOfTheRest = 44;
-  constexpr std::uint64_t MinDefault = 16;
-  constexpr std::uint64_t DefaultWithoutMemoryLimit = 128;
-  const auto MemoryLimit =
-      static_cast<std::uint64_t>(Reader.readDecimal(MemoryLimitRange));
+  constexpr std::uint64_t MemoryOfTheRest = 44 * Mebibyte;
+  constexpr std::uint64_t MinDefault = 16 * Mebibyte;
+  constexpr std::uint64_t DefaultWithoutMemoryLimit = 128 * Mebibyte;
+  const double MemoryLimit = Reader.readDecimal(MemoryLimitRange);
   if (std::uint64_t Limit = Reader.readNumber(ReceiveLimitRange); Limit > 0)
     return ByteCount(std::max(Limit, Mebibyte));
   if (MemoryLimit == 0)
-    return ByteCount(DefaultWithoutMemoryLimit * Mebibyte);
+    return ByteCount(DefaultWithoutMemoryLimit);
+  const auto Memory = static_cast<std::uint64_t>(MemoryLimit * Mebibyte);
   return ByteCount(
-      std::max(MinDefault,
-               MemoryLimit - std::min(MemoryLimit, MemoryOfTheRest)) *
-      Mebibyte);
+      std::max(MinDefault, Memory - std::min(Memory, MemoryOfTheRest)));
+}
+
+/// Platforms state the grace time in seconds, operators may in milliseconds.
+Duration readShutdownGracePeriod(SettingsReader &Reader) {
+  const std::string Seconds = Reader.readText(GraceSecondsRange.Flag_);
+  if (Seconds.empty())
+    return Reader.readDuration(GraceMillisecondsRange, 1ms, "ms");
+  if (!Reader.readText(GraceMillisecondsRange.Flag_).empty())
+    Reader.recordError(invalidValueError(GraceSecondsRange.Flag_, Seconds,
+                                         "unset when --grace-ms is set"));
+  return Reader.readDuration(GraceSecondsRange, 1s, "s");
 }
 
 void checkDutySettings(SettingsReader &Reader, const Settings &Parsed) {
@@ -272,8 +324,7 @@
       Reader.readAddress("status-address", "127.0.0.1:8084");
   Parsed.IsFirstStart_ = Reader.readBoolean("first-start");
   Parsed.HasOpenListeners_ = Reader.readBoolean("open-listeners");
-  Parsed.ShutdownGracePeriod_ =
-      std::chrono::milliseconds(Reader.readNumber(ShutdownGracePeriodRange));
+  Parsed.ShutdownGracePeriod_ = readShutdownGracePeriod(Reader);
   if (!Parsed.HasOpenListeners_) {
     Parsed.OperatorTokenFile_ = Reader.readPath("operator-token-file");
     Parsed.AnnounceTokenFile_ = Reader.readPath("announce-token-file");
@@ -286,6 +337,7 @@
     Parsed.CallerConnectionsLimit_ = EventCount(Limit);
   Parsed.QueueLimit_ = QueueLimit(
       static_cast<std::uint32_t>(Reader.readNumber(QueueLimitRange)));
+  // Without its fraction, so that the fleet stays within the stated bound.
   Parsed.RetryAllowance_ = EventCount(
       static_cast<std::uint64_t>(Reader.readDecimal(RetryAllowanceRange)));
   if (const std::string File = Reader.readText("address-file"); !File.empty())
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -72,6 +72,11 @@
         SettingsCase{"TooManyConnections", "caller-connections-limit",
                      "1000001", "from 0 to 1000000"},
         SettingsCase{"NoQueue", "queue-limit", "0", "from 1 to 1000000"},
+        SettingsCase{"FractionalQueue", "queue-limit", "7.5",
+                     "a whole number from 1 to 1000000"},
+        SettingsCase{"FractionalGrace", "grace-ms", "1500.5", ""},
+        SettingsCase{"GraceTooShort", "grace-ms", "99.9",
+                     "a time from 100 to 86400000 ms"},
         SettingsCase{"NoAllowance", "retry-allowance", "0", ""},
         SettingsCase{"FractionalAllowance", "retry-allowance", "22.5", ""},
         SettingsCase{"AllowanceTooGreat", "retry-allowance", "1000001",
@@ -124,6 +129,17 @@
   EXPECT_FALSE(Settings::create(Values));
 }
 
+// Guards against a grace period that depends on the order of the flags.
+TEST(SettingsTest, RejectsAGracePeriodInTwoUnits) {
+  SettingValues Values = validValues();
+  Values["grace-ms"] = "6000";
+  EXPECT_EQ(Settings::create(Values).takeValue().ShutdownGracePeriod_, 6s);
+  Values["grace-s"] = "6.5";
+  EXPECT_FALSE(Settings::create(Values));
+  Values.erase("grace-ms");
+  EXPECT_EQ(Settings::create(Values).takeValue().ShutdownGracePeriod_, 6500ms);
+}
+
 // Guards against lists that are parsed incorrectly and missing defaults.
 TEST(SettingsTest, ReadsListsAndAppliesDefaults) {
   Settings Parsed = Settings::create(validValues()).takeValue();
