jaybridged: Keep the grace time also with all duties

What callers saw: nothing in the platform's deployments, which run no such daemon. What stops it by force after that time cuts off the callers, and the fleet is not told that it leaves. Cause: runAll() waited with a constant instead of the setting, which gateways alone used. Evidence: GracePeriodTest on, with 1.5 s: the caller gave up after 30 s without an answer (status 0, 504 wanted), in both rows. It passes now. Change: the daemon announces its end to the gateway role, as the gateway does, so that requests which do not end in time are answered with what is known; 3 s or a quarter of the period remain for the leave. The default stays 300 s. event=draining logs the grace period. TestSmoke passes; the other tests were not run on this commit.

--- a/Services/jaybridged/Daemon.cpp
+++ b/Services/jaybridged/Daemon.cpp
@@ -7,7 +7,7 @@
 
 constexpr RingCapacity RoleRingCapacity(16384);
 /// Time allowed for telling the fleet that this daemon leaves.
-constexpr auto LeaveTimeout = std::chrono::seconds(3);
+constexpr Duration LeaveTimeout = 3s;
 
 Result<LedgerService> createLedger(const Settings &DaemonSettings) {
   ClaimCoordinatorSettings ClaimSettings;
@@ -238,14 +238,22 @@
   return success();
 }
 
-bool Daemon::drain(Duration Limit) {
+bool Daemon::drain(Duration Grace) {
+  const TimePoint Now = monotonicNow();
+  // A short grace period is mostly left to the requests in progress.
+  const Duration Leaving = std::min(LeaveTimeout, Grace / 4);
+  const TimePoint Deadline = Now + Grace - Leaving - RequestPath::ExitReserve;
   IsDraining_ = true;
-  Log_.write(LogLevel::Info, "draining", {});
-  bool IsComplete = RequestPath_->drain(Limit);
+  Log_.write(LogLevel::Info, "draining",
+             {{"grace_ms", std::to_string(Grace / 1ms)}});
+  RequestPath_->announceDrain(
+      Now, std::max(Now, Deadline - RequestPath::LastAnswersReserve));
+  bool IsComplete = RequestPath_->drain(
+      std::max(Duration::zero(), Deadline - monotonicNow()));
   post(*Fleet_, LeaveRequested{});
   auto LeaveDone = LeaveDone_.get_future();
   bool IsFleetNotified =
-      LeaveDone.wait_for(LeaveTimeout) == std::future_status::ready;
+      LeaveDone.wait_for(Leaving) == std::future_status::ready;
   Log_.write(LogLevel::Info, "drained",
              {{"complete", IsComplete ? "true" : "false"},
               {"left", IsFleetNotified ? "true" : "false"}});
--- a/Services/jaybridged/Daemon.h
+++ b/Services/jaybridged/Daemon.h
@@ -45,9 +45,10 @@
   const Endpoint &peerAddress() const { return Peers_.address(); }
 
   /// Refuses new requests, waits for those in progress and then tells the fleet
-  /// that this daemon leaves. False when some requests were not answered within
-  /// the limit.
-  [[nodiscard]] bool drain(Duration Limit);
+  /// that this daemon leaves, all within the grace period. Requests that do not
+  /// end in time are answered with what is known about them. False when some
+  /// were not answered.
+  [[nodiscard]] bool drain(Duration Grace);
 
 private:
   using ConfigurationRole = ConfigurationService<ConfigurationWireCodec>;
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -17,10 +17,6 @@
 /// Time after the listener has closed in which requests on open connections are
 /// still served. Later ones are refused, as they might not finish in time.
 constexpr Duration LateRequestGrace = 500ms;
-/// Part of the grace period that is reserved for ending the process.
-constexpr Duration ProcessExitReserve = 300ms;
-/// Time for writing the answers of requests that did not end in time.
-constexpr Duration LastAnswersReserve = 200ms;
 /// Retries per service that each gateway holds; the control members replace
 /// those that it spends.
 constexpr EventCount RetriesPerService(1);
@@ -344,13 +340,15 @@
 
 bool GatewayDaemon::drain(Duration Grace) {
   const TimePoint Now = monotonicNow();
-  const TimePoint Deadline = Now + Grace - ProcessExitReserve;
+  const TimePoint Deadline = Now + Grace - RequestPath::ExitReserve;
   const Duration Accepting = std::min(BalancerRemovalDelay, Grace / 2);
   const Duration Late = std::min(LateRequestGrace, Grace / 10);
   IsDraining_ = true;
-  Log_.write(LogLevel::Info, "draining", {});
-  RequestPath_->announceDrain(Now + Accepting + Late,
-                              std::max(Now, Deadline - LastAnswersReserve));
+  Log_.write(LogLevel::Info, "draining",
+             {{"grace_ms", std::to_string(Grace / 1ms)}});
+  RequestPath_->announceDrain(
+      Now + Accepting + Late,
+      std::max(Now, Deadline - RequestPath::LastAnswersReserve));
   RequestPath_->closeAfterAnswers();
   std::this_thread::sleep_for(Accepting);
   RequestPath_->stopAccepting();
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -67,6 +67,11 @@
 /// gateway role that routes it, and the client for upstreams.
 class RequestPath {
 public:
+  /// Part of a grace period that drain() has to leave for ending the process.
+  static constexpr Duration ExitReserve = 300ms;
+  /// Time for writing the answers of requests that did not end in time.
+  static constexpr Duration LastAnswersReserve = 200ms;
+
   static Result<std::unique_ptr<RequestPath>> create(RequestPathOptions Options,
                                                      RequestPathSinks Sinks);
   ~RequestPath();
--- a/Services/jaybridged/main.cpp
+++ b/Services/jaybridged/main.cpp
@@ -13,8 +13,6 @@
 namespace jaybridge {
 namespace {
 
-constexpr Duration DrainTimeout = std::chrono::minutes(5);
-
 enum class ExitCode {
   Success = 0,
   Failure = 1,
@@ -52,8 +50,9 @@
       return reportError(Written.error(), ExitCode::Failure);
   int Signal = 0;
   sigwait(&StopSignals, &Signal);
-  return Running.value()->drain(DrainTimeout) ? ExitCode::Success
-                                              : ExitCode::DrainIncomplete;
+  return Running.value()->drain(DaemonSettings.ShutdownGracePeriod_)
+             ? ExitCode::Success
+             : ExitCode::DrainIncomplete;
 }
 
 ExitCode runGateway(const Settings &DaemonSettings, const sigset_t &Signals) {
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -93,6 +93,8 @@
       "--announce_token_file=" + Folder_ + "/announce.token",
       "--peer_token_file=" + Folder_ + "/peer.token",
       "--address_file=" + AddressFile};
+  Flags.insert(Flags.end(), Options.ExtraFlags_.begin(),
+               Options.ExtraFlags_.end());
   if (Options.HasDataFolder_)
     Flags.push_back("--data_folder=" + Folder_ + "/" + Options.Id_ + ".data");
   Daemons_.insert_or_assign(Options.Id_, ChildProcess(JAYBRIDGED_PROGRAM, Flags,
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -25,6 +25,7 @@
   /// Loopback address that represents the VM, such as 127.1.0.1.
   std::string Address_;
   bool HasDataFolder_ = false;
+  std::vector<std::string> ExtraFlags_{};
 };
 
 /// Settings of a fake upstream of a ProcessFleet.
