Tests/platform: Guard short and fractional grace periods of gateways

PlannedStopTest stops gateways with 6 s only. GatewayGraceTest stops one with 0.1, 0.7 and 2.5005 s while an instance is at work, and wants a 504 for the caller and the end of the process.

--- a/Tests/platform/DutyFleet.cpp
+++ b/Tests/platform/DutyFleet.cpp
@@ -209,6 +209,10 @@
   }
 }
 
+bool DutyFleet::waitUntilGatewayEnds(std::size_t Gateway) const {
+  return waitFor([&] { return Gateways_[Gateway].hasEnded(); });
+}
+
 bool DutyFleet::waitUntilServing(const std::string &Path) {
   for (std::size_t Gateway = 0; Gateway < GatewayCount_; ++Gateway)
     if (!waitFor([&] { return send(Gateway, "GET", Path).Status_ == 200; }))
--- a/Tests/platform/DutyFleet.h
+++ b/Tests/platform/DutyFleet.h
@@ -53,6 +53,8 @@
   void signalGateway(std::size_t Gateway, int Signal) {
     Gateways_[Gateway].send(Signal);
   }
+  /// Waits until the process of a gateway has ended by itself.
+  [[nodiscard]] bool waitUntilGatewayEnds(std::size_t Gateway) const;
   /// Processes that have ended by themselves.
   std::size_t endedProcesses() const;
   /// Peak memory of a gateway.
--- a/Tests/platform/TestPlannedStop.cpp
+++ b/Tests/platform/TestPlannedStop.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
+
 namespace jaybridge {
 namespace {
 
@@ -83,5 +85,47 @@
                                          SignalCase{"ThenReload", {SIGHUP}}),
                          CaseName());
 
+struct GatewayGraceCase {
+  const char *Name_;
+  const char *Flag_;
+};
+
+class GatewayGraceTest : public testing::TestWithParam<GatewayGraceCase> {};
+
+// Guards against a gateway that is killed because it waits for an instance
+// beyond a short or fractional grace period, and cuts off the caller.
+TEST_P(GatewayGraceTest, AnswersTheCallerOfAnInstanceThatIsStillAtWork) {
+  DutyFleet Fleet(1, {GetParam().Flag_});
+  ASSERT_TRUE(Fleet.start());
+  std::promise<void> Stopped;
+  std::shared_future<void> IsStopped = Stopped.get_future().share();
+  std::atomic<bool> IsAtWork = false;
+  Fleet.addInstances(1, [&](const InstanceRequest &Received) -> InstanceReply {
+    if (Received.Method_ == "POST") {
+      IsAtWork = true;
+      IsStopped.wait();
+    }
+    return WriteBytes{signedResponse(Received, "done")};
+  });
+  ASSERT_TRUE(Fleet.waitUntilServing("/safe/ready"));
+  bool HasSignaled = false;
+  const std::vector<LoadResponse> Responses =
+      runLoad({Fleet.request(0, "POST", "/patient/0")}, [&](Duration) {
+        if (IsAtWork && !std::exchange(HasSignaled, true))
+          Fleet.signalGateway(0, SIGTERM);
+      });
+  const bool HasEnded = Fleet.waitUntilGatewayEnds(0);
+  Stopped.set_value();
+  EXPECT_TRUE(HasEnded);
+  EXPECT_EQ(Responses[0].Status_, 504U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Periods, GatewayGraceTest,
+    testing::Values(GatewayGraceCase{"Least", "--grace-ms=100"},
+                    GatewayGraceCase{"Short", "--grace-ms=700"},
+                    GatewayGraceCase{"Fraction", "--grace-ms=2500.5"}),
+    CaseName());
+
 } // namespace
 } // namespace jaybridge
