--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -43,6 +43,7 @@
                                                 0, 1000000};
 constexpr std::uint16_t MaxPort = 65535;
 constexpr NumberRange SeedPeerPortRange = {"seed-peer-port", 0, 0, MaxPort};
+/// The grace period has the same limits in both units.
 constexpr NumberRange GraceSecondsRange = {"grace-s", 300, 0.1, 86400};
 constexpr NumberRange GraceMillisecondsRange = {"grace-ms", 300000, 100,
                                                 86400000};
--- a/Tests/Smoke/TestGracePeriod.cpp
+++ b/Tests/Smoke/TestGracePeriod.cpp
@@ -14,9 +14,7 @@
 
 class GracePeriodTest : public testing::TestWithParam<GracePeriodCase> {};
 
-// Guards against a daemon with all duties that accepts a grace period and waits
-// longer for requests in progress, so that it is killed, its callers get no
-// answer and the fleet is not told.
+// Guards against a daemon that outlasts its grace period and is then killed.
 TEST_P(GracePeriodTest, AnswersARequestInProgressAndEnds) {
   ProcessFleet Fleet;
   Fleet.setControlMembers({"c0"});
--- a/Tests/platform/TestFlagTemplates.cpp
+++ b/Tests/platform/TestFlagTemplates.cpp
@@ -137,11 +137,9 @@
 
 class FlagTemplateTest : public testing::TestWithParam<FieldCase> {};
 
-// Guards against a daemon that refuses to start because of the form in which
-// the platform writes a number, against a value that is kept inexactly, and
-// against errors that do not name the flag, the value and the range.
+// Guards against settings that are refused or altered by the form of a value.
 TEST_P(FlagTemplateTest, KeepsEachValueOrNamesItsRange) {
-  const auto &[CaseName, Field, Value, Expected] = GetParam();
+  const auto &[Name, Field, Value, Expected] = GetParam();
   for (const std::string Template : Field.Templates_) {
     auto Parsed = readTemplate(Template, Field.Name_, Value);
     const std::string Message = Parsed ? "" : Parsed.error().Message_;
--- a/Tests/platform/TestPlannedStop.cpp
+++ b/Tests/platform/TestPlannedStop.cpp
@@ -92,8 +92,7 @@
 
 class GatewayGraceTest : public testing::TestWithParam<GatewayGraceCase> {};
 
-// Guards against a gateway that is killed because it waits for an instance
-// beyond a short or fractional grace period, and cuts off the caller.
+// Guards against a gateway that outlasts a short or fractional grace period.
 TEST_P(GatewayGraceTest, AnswersTheCallerOfAnInstanceThatIsStillAtWork) {
   DutyFleet Fleet(1, {GetParam().Flag_});
   ASSERT_TRUE(Fleet.start());
