jaybridged: State once how a drain keeps its deadline

Cause: both daemons subtracted the time for last answers and computed the rest of the grace period on their own. Change: RequestPath takes the deadline. No behaviour changes.

--- a/Services/jaybridged/Daemon.cpp
+++ b/Services/jaybridged/Daemon.cpp
@@ -246,10 +246,8 @@
   IsDraining_ = true;
   Log_.write(LogLevel::Info, "draining",
              {{"grace_ms", std::to_string(Grace / 1ms)}});
-  RequestPath_->announceDrain(
-      Now, std::max(Now, Deadline - RequestPath::LastAnswersReserve));
-  bool IsComplete = RequestPath_->drain(
-      std::max(Duration::zero(), Deadline - monotonicNow()));
+  RequestPath_->announceDrain(Now, Deadline);
+  bool IsComplete = RequestPath_->drain(Deadline);
   post(*Fleet_, LeaveRequested{});
   auto LeaveDone = LeaveDone_.get_future();
   bool IsFleetNotified =
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -346,15 +346,12 @@
   IsDraining_ = true;
   Log_.write(LogLevel::Info, "draining",
              {{"grace_ms", std::to_string(Grace / 1ms)}});
-  RequestPath_->announceDrain(
-      Now + Accepting + Late,
-      std::max(Now, Deadline - RequestPath::LastAnswersReserve));
+  RequestPath_->announceDrain(Now + Accepting + Late, Deadline);
   RequestPath_->closeAfterAnswers();
   std::this_thread::sleep_for(Accepting);
   RequestPath_->stopAccepting();
   std::this_thread::sleep_for(Late);
-  const bool IsComplete = RequestPath_->drain(
-      std::max(Duration::zero(), Deadline - monotonicNow()));
+  const bool IsComplete = RequestPath_->drain(Deadline);
   Log_.write(LogLevel::Info, "drained",
              {{"complete", IsComplete ? "true" : "false"}});
   return IsComplete;
--- a/Services/jaybridged/RequestPath.cpp
+++ b/Services/jaybridged/RequestPath.cpp
@@ -1,6 +1,7 @@
 #include <RequestPath.h>
 
 #include <LibHTTP/RequestIdGenerator.h>
+#include <LibRuntime/SystemClock.h>
 
 namespace jaybridge {
 
@@ -8,6 +9,8 @@
 
 /// Enough for the events of all requests in progress, with a reserve.
 constexpr RingCapacity GatewayRingCapacity(65536);
+/// Time for writing the answers of requests that did not end in time.
+constexpr Duration LastAnswersReserve = 200ms;
 
 } // namespace
 
@@ -81,10 +84,16 @@
                            EventCount(Counters_.RingsFull_)};
 }
 
-bool RequestPath::drain(Duration Limit) {
+void RequestPath::announceDrain(TimePoint AdmitUntil, TimePoint Deadline) {
+  post(DrainStarted{AdmitUntil,
+                    std::max(monotonicNow(), Deadline - LastAnswersReserve)});
+}
+
+bool RequestPath::drain(TimePoint Deadline) {
   Callers_->stopAccepting();
   post(DrainStarted{});
-  return Callers_->waitUntilAnswered(Limit);
+  return Callers_->waitUntilAnswered(
+      std::max(Duration::zero(), Deadline - monotonicNow()));
 }
 
 std::optional<GatewayEvent> RequestPath::deliver(GatewayEffect Effect) {
--- a/Services/jaybridged/RequestPath.h
+++ b/Services/jaybridged/RequestPath.h
@@ -69,8 +69,6 @@
 public:
   /// Part of a grace period that drain() has to leave for ending the process.
   static constexpr Duration ExitReserve = 300ms;
-  /// Time for writing the answers of requests that did not end in time.
-  static constexpr Duration LastAnswersReserve = 200ms;
 
   static Result<std::unique_ptr<RequestPath>> create(RequestPathOptions Options,
                                                      RequestPathSinks Sinks);
@@ -99,13 +97,13 @@
   void closeAfterAnswers() { Callers_->closeAfterAnswers(); }
   /// Takes no new connections; requests on open ones are still served.
   void stopAccepting() { Callers_->stopAccepting(); }
-  /// Announces the end of the daemon to the gateway role: see DrainStarted.
-  void announceDrain(TimePoint AdmitUntil, TimePoint FinishBy) {
-    post(DrainStarted{AdmitUntil, FinishBy});
-  }
+  /// Makes the gateway role answer the requests in progress in time for drain()
+  /// with the same deadline. New ones are served until AdmitUntil, if they can
+  /// end in time: see DrainStarted.
+  void announceDrain(TimePoint AdmitUntil, TimePoint Deadline);
   /// Refuses new requests and waits until those in progress are answered.
-  /// False when some were not answered within the limit.
-  [[nodiscard]] bool drain(Duration Limit);
+  /// False when some were not answered by the deadline.
+  [[nodiscard]] bool drain(TimePoint Deadline);
 
 private:
   struct Counters {
