--- a/Services/jaybridged/Daemon.cpp
+++ b/Services/jaybridged/Daemon.cpp
@@ -240,7 +240,7 @@
 
 bool Daemon::drain(Duration Grace) {
   const TimePoint Now = monotonicNow();
-  // A short grace period is mostly left to the requests in progress.
+  // At most a quarter of a short grace period goes to the leave.
   const Duration Leaving = std::min(LeaveTimeout, Grace / 4);
   const TimePoint Deadline = Now + Grace - Leaving - RequestPath::ExitReserve;
   IsDraining_ = true;
--- a/Tests/platform/TestPlannedStop.cpp
+++ b/Tests/platform/TestPlannedStop.cpp
@@ -94,11 +94,11 @@
 
 // Guards against a gateway that outlasts a short or fractional grace period.
 TEST_P(GatewayGraceTest, AnswersTheCallerOfAnInstanceThatIsStillAtWork) {
-  DutyFleet Fleet(1, {GetParam().Flag_});
-  ASSERT_TRUE(Fleet.start());
   std::promise<void> Stopped;
   std::shared_future<void> IsStopped = Stopped.get_future().share();
   std::atomic<bool> IsAtWork = false;
+  DutyFleet Fleet(1, {GetParam().Flag_});
+  ASSERT_TRUE(Fleet.start());
   Fleet.addInstances(1, [&](const InstanceRequest &Received) -> InstanceReply {
     if (Received.Method_ == "POST") {
       IsAtWork = true;
