LibRuntime, jaybridged: Log events that occupy a thread for long

Cause: the logs could not tell whether a late departure waited on the link, in a ring, or behind the work on another event.

--- a/Libraries/LibRuntime/EventLoopThread.h
+++ b/Libraries/LibRuntime/EventLoopThread.h
@@ -27,6 +27,16 @@
   EventLoopThread(const EventLoopThread &) = delete;
   EventLoopThread &operator=(const EventLoopThread &) = delete;
 
+  /// Time of handling from which an event is reported as slow. The shortest
+  /// time-outs between daemons are above it.
+  static constexpr Duration SlowEventThreshold = 200ms;
+
+  /// Reports the handling time of each slow event, during which all events
+  /// behind it waited. Must be called before start().
+  void reportSlowEvents(std::function<void(Duration)> Report) {
+    ReportSlowEvent_ = std::move(Report);
+  }
+
   /// Queue of incoming events; any thread may push.
   BoundedRing<Event> &ring() { return Ring_; }
 
@@ -54,9 +64,16 @@
       if (Next)
         Role_.handle(*Next, Now, Effects_);
       deliverEffects(Now);
+      if (ReportSlowEvent_)
+        reportIfSlow(monotonicNow() - Now);
     }
   }
 
+  void reportIfSlow(Duration Handling) {
+    if (Handling >= SlowEventThreshold)
+      ReportSlowEvent_(Handling);
+  }
+
   // Iterates by index: handling a returned event may append further effects.
   void deliverEffects(TimePoint Now) {
     for (std::size_t Index = 0; Index < Effects_.size(); ++Index) {
@@ -72,6 +89,7 @@
   BoundedRing<Event> Ring_;
   Sink Deliver_;
   std::vector<Effect> Effects_;
+  std::function<void(Duration)> ReportSlowEvent_;
   std::thread Thread_;
 };
 
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -127,6 +127,11 @@
                                      {.Address_ = DaemonSettings.StatusAddress_,
                                       .Token_ = std::nullopt},
                                      std::move(Routes)));
+  SubscriptionThread_.reportSlowEvents([this](Duration Handling) {
+    Log_.write(
+        LogLevel::Warning, "slow-event",
+        {{"thread", "subscription"}, {"ms", std::to_string(Handling / 1ms)}});
+  });
   SubscriptionThread_.start([this](RegistrySubscriptionEffect Effect)
                                 -> std::optional<RegistrySubscriptionEvent> {
     deliver(std::move(Effect));
