LibProfile: Look up routes by prefix instead of scanning a host's routes

What callers saw: changes and departures that were confirmed took effect late after additions of 1,400 routes, and requests of limited teams were refused.

Cause: the check for two routes with one host and prefix compared each route with all others of its host, so that validating a configuration took time with the square of its routes: 21 ms for 1,400, 161 ms for 4,200 on a whole core, on each gateway (0.07 cores) and in the leader's thread. Requests, too, scanned all routes of their host.

Change: the routes of a host are kept by prefix, with the set of prefix lengths. Tables share their routes.

Before and after: ConfigurationWorkTest/WholeDocument failed (51 times the time for 8 times the routes, bound 24) and passes.

Ruled out: the link.

--- a/Libraries/LibProfile/RoutingTable.cpp
+++ b/Libraries/LibProfile/RoutingTable.cpp
@@ -1,6 +1,7 @@
 #include <LibProfile/RoutingTable.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace jaybridge {
 
@@ -45,18 +46,16 @@
     Created.Services_.insert_or_assign(std::move(Name), std::move(Service));
   }
   JAYBRIDGE_TRY(Created.Teams_, TeamDirectory::create(std::move(Draft.Teams_)));
-  for (RouteDraft &RouteValues : Draft.Routes_)
-    JAYBRIDGE_TRY_STATUS(Created.add(std::move(RouteValues)));
-  for (auto &[Host, Routes] : Created.Hosts_)
-    std::stable_sort(Routes.begin(), Routes.end(),
-                     [](const Route &Left, const Route &Right) {
-                       return Left.Values_.Prefix_.size() >
-                              Right.Values_.Prefix_.size();
-                     });
+  for (RouteDraft &RouteValues : Draft.Routes_) {
+    JAYBRIDGE_TRY(auto Valid, Route::create(std::move(RouteValues)));
+    Draft.ValidRoutes_.push_back(std::move(Valid));
+  }
+  for (auto &Valid : Draft.ValidRoutes_)
+    JAYBRIDGE_TRY_STATUS(Created.add(std::move(Valid)));
   return Created;
 }
 
-Status RoutingTable::add(RouteDraft Draft) {
+Result<std::shared_ptr<const Route>> Route::create(RouteDraft Draft) {
   const std::string &Name = Draft.Name_.text();
   if (Draft.Prefix_.empty() || Draft.Prefix_.front() != '/')
     return invalid(Name, "the path prefix must begin with a slash");
@@ -67,21 +66,29 @@
   if (Draft.WeightedServices_.empty())
     return invalid(Name, "a route must name a service");
   SplitWeight TotalWeight;
-  for (const WeightedService &Weighted : Draft.WeightedServices_) {
-    if (!Services_.contains(Weighted.Service_))
-      return invalid(Name, "the service '" + Weighted.Service_.text() +
-                               "' is not defined");
+  for (const WeightedService &Weighted : Draft.WeightedServices_)
     TotalWeight += Weighted.Weight_;
-  }
   if (TotalWeight == SplitWeight(0))
     return invalid(Name, "the weights of a route must not all be 0");
   JAYBRIDGE_TRY(Profile RouteProfile, Profile::create(profileDraftOf(Draft)));
-  std::vector<Route> &Routes = Hosts_[Draft.Host_];
-  for (const Route &Existing : Routes)
-    if (Existing.Values_.Prefix_ == Draft.Prefix_)
-      return invalid(Name, "the route '" + Existing.Values_.Name_.text() +
-                               "' has the same host and prefix");
-  Routes.push_back(Route{std::move(Draft), std::move(RouteProfile)});
+  return std::make_shared<const Route>(
+      Route{std::move(Draft), std::move(RouteProfile)});
+}
+
+Status RoutingTable::add(std::shared_ptr<const Route> Added) {
+  const RouteDraft &Values = Added->Values_;
+  for (const WeightedService &Weighted : Values.WeightedServices_)
+    if (!Services_.contains(Weighted.Service_))
+      return invalid(Values.Name_.text(), "the service '" +
+                                              Weighted.Service_.text() +
+                                              "' is not defined");
+  HostRoutes &Host = Hosts_[Values.Host_];
+  auto [Existing, IsNew] = Host.Routes_.try_emplace(Values.Prefix_, Added);
+  if (!IsNew)
+    return invalid(Values.Name_.text(),
+                   "the route '" + Existing->second->Values_.Name_.text() +
+                       "' has the same host and prefix");
+  Host.PrefixLengths_.insert(Values.Prefix_.size());
   ++RouteCount_;
   return success();
 }
@@ -91,9 +98,12 @@
   auto Found = Hosts_.find(Host);
   if (Found == Hosts_.end())
     return nullptr;
-  for (const Route &Candidate : Found->second)
-    if (Path.starts_with(Candidate.Values_.Prefix_))
-      return &Candidate;
+  const auto &[Routes, PrefixLengths] = Found->second;
+  for (std::size_t Length : PrefixLengths)
+    if (Length <= Path.size())
+      if (auto Match = Routes.find(Path.substr(0, Length));
+          Match != Routes.end())
+        return Match->second.get();
   return nullptr;
 }
 
--- a/Libraries/LibProfile/RoutingTable.h
+++ b/Libraries/LibProfile/RoutingTable.h
@@ -4,9 +4,12 @@
 #include <LibProfile/ServicePolicy.h>
 #include <LibProfile/TeamDirectory.h>
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace jaybridge {
@@ -49,23 +52,28 @@
   std::string HealthPath_ = "/health";
 };
 
+/// A validated route with the profile that applies to its requests.
+struct Route {
+  RouteDraft Values_;
+  Profile Profile_;
+
+  /// Errors: `Invalid`, with the name of the route.
+  static Result<std::shared_ptr<const Route>> create(RouteDraft Draft);
+};
+
 /// Unvalidated values of a routing table.
 struct RoutingDraft {
   ConfigurationVersion Version_;
   std::vector<RouteDraft> Routes_;
+  /// Routes that were validated for this or an earlier table.
+  std::vector<std::shared_ptr<const Route>> ValidRoutes_;
   std::vector<ServiceDefinition> Services_;
   std::vector<TeamDraft> Teams_;
 };
 
-/// A validated route with the profile that applies to its requests.
-struct Route {
-  RouteDraft Values_;
-  Profile Profile_;
-};
-
 /// Selects the route of a request by host and longest path prefix. The route
 /// determines the services and the profile that apply. A constructed table has
-/// passed validation.
+/// passed validation. Tables share the routes that they have in common.
 class RoutingTable {
 public:
   /// Errors: `Invalid`, with the name of the invalid route or the field.
@@ -84,13 +92,20 @@
   std::vector<ServicePolicy> policies() const;
 
 private:
+  /// The routes of a host by prefix. A lookup costs one step for each length of
+  /// a prefix, however many routes there are.
+  struct HostRoutes {
+    /// Keys are the prefixes in the routes themselves.
+    std::unordered_map<std::string_view, std::shared_ptr<const Route>> Routes_;
+    std::set<std::size_t, std::greater<>> PrefixLengths_;
+  };
+
   RoutingTable() = default;
-  Status add(RouteDraft Draft);
+  Status add(std::shared_ptr<const Route> Added);
 
   ConfigurationVersion Version_;
   std::map<ServiceName, ServiceDefinition> Services_;
-  /// Routes of each host, longest prefix first.
-  std::map<HostName, std::vector<Route>> Hosts_;
+  std::map<HostName, HostRoutes> Hosts_;
   std::size_t RouteCount_ = 0;
   TeamDirectory Teams_;
 };
