LibRegistry, jaybridged: Read configurations in a thread of their own

Cause: a gateway read each document in the thread that also passes on departures, limits and heartbeats. While it read, it took its member for silent, left it and refused the requests of limited teams; versions that a later one had overtaken were read in full.

Change: reading is a duty of its own. The subscription has one document read at a time and goes on with the newest. A new contact is announced when the version that came with it has been read.

--- a/Libraries/LibRegistry/RegistrySubscription.h
+++ b/Libraries/LibRegistry/RegistrySubscription.h
@@ -3,11 +3,12 @@
 #include <LibCore/DecisionRole.h>
 #include <LibCore/Random.h>
 #include <LibCore/Result.h>
+#include <LibRegistry/DocumentReading.h>
+#include <LibRegistry/ReceivedConfiguration.h>
 #include <LibRegistry/RecentAnswers.h>
 #include <LibRegistry/SubscriptionMessages.h>
 #include <LibRouting/GatewayMessages.h>
 
-#include <concepts>
 #include <map>
 #include <set>
 
@@ -60,19 +61,14 @@
 
 using RegistrySubscriptionEvent =
     std::variant<SubscriptionReceived, MemberConnectionLost, ReportAttempt,
-                 ReportRetry, ReportOverdue, SendTokenRequest>;
+                 ReportRetry, ReportOverdue, SendTokenRequest, DocumentRead>;
 using RegistrySubscriptionEffect =
-    std::variant<SendSubscription, RoutingChanged, InstanceChanged,
-                 EjectionsChanged, FingerprintsQuarantined, RetriesGranted,
-                 ControlMemberChanged, DocumentRejected, TokensGranted>;
+    std::variant<SendSubscription, ReadDocument, RoutingChanged,
+                 InstanceChanged, EjectionsChanged, FingerprintsQuarantined,
+                 RetriesGranted, ControlMemberChanged, DocumentRejected,
+                 TokensGranted>;
 
-/// Parses the text of a configuration into its routing table.
-template <typename Reader>
-concept DocumentReader = requires(const std::string &Text) {
-  { Reader::read(Text) } -> std::same_as<Result<RoutingTable>>;
-};
-
-/// The part of the subscription that doesn't depend on the format of documents.
+/// The part of the subscription that doesn't concern the configuration.
 class RegistrySubscriptionState {
 public:
   using Effects = std::vector<RegistrySubscriptionEffect>;
@@ -180,8 +176,9 @@
 };
 
 /// A gateway's subscription to the registry. It follows one control member that
-/// is current, and keeps its last data while there is none.
-template <DocumentReader Reader> class RegistrySubscription {
+/// is current, and keeps its last data while there is none. Configurations are
+/// read elsewhere, so that nothing else waits meanwhile.
+class RegistrySubscription {
 public:
   using Event = RegistrySubscriptionEvent;
   using Effect = RegistrySubscriptionEffect;
@@ -190,87 +187,36 @@
   RegistrySubscription(RegistrySubscriptionSettings Settings, RandomSeed Seed)
       : State_(std::move(Settings), Seed) {}
 
-  void handle(const Event &Incoming, TimePoint Now, Effects &Out) {
-    std::visit([&](const auto &Concrete) { on(Concrete, Now, Out); }, Incoming);
-  }
-  void advance(TimePoint Now, Effects &Out) { State_.advance(Now, Out); }
+  void handle(const Event &Incoming, TimePoint Now, Effects &Out);
+  void advance(TimePoint Now, Effects &Out);
   std::optional<TimePoint> nextDeadline() const {
     return State_.nextDeadline();
   }
 
 private:
-  void on(const ReportAttempt &Attempt, TimePoint Now, Effects &) {
-    State_.recordAttempt(Attempt, Now);
-  }
-  void on(const ReportOverdue &Overdue, TimePoint Now, Effects &) {
-    State_.recordOverdue(Overdue, Now);
-  }
-  void on(const ReportRetry &Spent, TimePoint Now, Effects &) {
-    State_.recordRetrySpent(Spent, Now);
-  }
-  void on(const SendTokenRequest &Send, TimePoint, Effects &Out) {
-    State_.sendTokenRequest(Send, Out);
-  }
-  void on(const MemberConnectionLost &Lost, TimePoint Now, Effects &Out) {
-    State_.handleConnectionLost(Lost.Member_, Now, Out);
-  }
-  void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out) {
-    if (const auto *Update = std::get_if<RegistryUpdate>(&Received.Message_)) {
-      Effects Confirmation;
-      if (!State_.acceptUpdate(Received.From_, *Update, Now, Confirmation)) {
-        Out.insert(Out.end(), Confirmation.begin(), Confirmation.end());
-        return;
-      }
-      // Instances come first: requests that wait for their routes need the
-      // instances as soon as the routes are there.
-      State_.applyInstances(*Update, Out);
-      if (Update->Document_)
-        applyDocument(*Update->Document_, Out);
-      if (Update->Delta_)
-        applyDelta(*Update->Delta_, Now, Out);
-      // Last, since the gateway then refuses keys and routes that are not in
-      // its configuration.
-      Out.insert(Out.end(), Confirmation.begin(), Confirmation.end());
-    } else if (const auto *Heartbeat =
-                   std::get_if<RegistryHeartbeat>(&Received.Message_)) {
-      State_.handleHeartbeat(Received.From_, *Heartbeat, Now, Out);
-    } else if (std::holds_alternative<RegistryStale>(Received.Message_)) {
-      State_.handleStale(Received.From_, Now, Out);
-    } else if (const auto *Grant =
-                   std::get_if<RetriesGranted>(&Received.Message_)) {
-      State_.acceptGrant(*Grant, Out);
-    } else if (const auto *Tokens =
-                   std::get_if<TokenGrant>(&Received.Message_)) {
-      Out.emplace_back(TokensGranted{*Tokens});
-    }
-  }
-  void applyDocument(const StoredDocument &Stored, Effects &Out) {
-    if (Stored.Version_ <= State_.version())
-      return;
-    auto Table = Reader::read(Stored.Text_);
-    if (!Table) {
-      Out.emplace_back(DocumentRejected{Stored.Version_, Table.takeError()});
-      return;
-    }
-    State_.setVersion(Stored.Version_);
-    Document_ = Stored;
-    Out.emplace_back(RoutingChanged{
-        std::make_shared<const RoutingTable>(Table.takeValue())});
-  }
-
-  void applyDelta(const DocumentDelta &Delta, TimePoint Now, Effects &Out) {
-    if (!Document_ || Delta.Version_ <= Document_->Version_)
-      return;
-    auto Updated = jaybridge::applyDelta(*Document_, Delta);
-    if (!Updated) {
-      Out.emplace_back(DocumentRejected{Delta.Version_, Updated.takeError()});
-      return State_.requestFullUpdate(Now, Out);
-    }
-    applyDocument(Updated.value(), Out);
-  }
+  /// A member that is announced when a version has been read. The gateway then
+  /// refuses keys and routes that are not in its configuration.
+  struct HeldContact {
+    ControlMemberChanged Change_;
+    ConfigurationVersion Version_;
+  };
+
+  void on(const ReportAttempt &Attempt, TimePoint Now, Effects &Out);
+  void on(const ReportOverdue &Overdue, TimePoint Now, Effects &Out);
+  void on(const ReportRetry &Spent, TimePoint Now, Effects &Out);
+  void on(const SendTokenRequest &Send, TimePoint Now, Effects &Out);
+  void on(const MemberConnectionLost &Lost, TimePoint Now, Effects &Out);
+  void on(const SubscriptionReceived &Received, TimePoint Now, Effects &Out);
+  void on(const DocumentRead &Read, TimePoint Now, Effects &Out);
+  void receive(const RegistryUpdate &Update, TimePoint Now, Effects &Out);
+  void startReading(Effects &Out);
+  /// Holds back a new contact among the effects from First on while a
+  /// configuration is read.
+  void holdContact(std::size_t First, Effects &Out);
 
   RegistrySubscriptionState State_;
-  std::optional<StoredDocument> Document_;
+  ReceivedConfiguration Configuration_;
+  std::optional<HeldContact> HeldContact_;
 };
 
 } // namespace jaybridge
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr RingCapacity SubscriptionRingCapacity(4096);
+/// The subscription has one document read at a time.
+constexpr RingCapacity ReaderRingCapacity(1);
 /// Balancers poll readiness once a second and remove a gateway after the second
 /// failure.
 constexpr Duration BalancerRemovalDelay = 2500ms;
@@ -54,7 +56,8 @@
 
 } // namespace
 
-GatewayDaemon::GatewayDaemon(const Settings &DaemonSettings, Subscription Role)
+GatewayDaemon::GatewayDaemon(const Settings &DaemonSettings,
+                             RegistrySubscription Role)
     : Log_(DaemonSettings.LogLevel_, DaemonSettings.Member_),
       RingsFull_(Metrics_.counter(MetricName("jaybridge_rings_full_total"))),
       MessagesUnsent_(
@@ -64,7 +67,8 @@
       AttemptTimes_(
           Metrics_.histogram(MetricName("jaybridge_attempt_seconds"))),
       Peers_(DaemonSettings, peerSinks()),
-      SubscriptionThread_(std::move(Role), SubscriptionRingCapacity) {}
+      SubscriptionThread_(std::move(Role), SubscriptionRingCapacity),
+      ReaderThread_(Reading(), ReaderRingCapacity) {}
 
 PeerSinks GatewayDaemon::peerSinks() {
   PeerSinks Sinks;
@@ -82,8 +86,8 @@
 Result<std::unique_ptr<GatewayDaemon>>
 GatewayDaemon::create(const Settings &DaemonSettings) {
   std::unique_ptr<GatewayDaemon> Created(new GatewayDaemon(
-      DaemonSettings, Subscription(subscriptionSettings(DaemonSettings),
-                                   randomSeed(DaemonSettings, 1))));
+      DaemonSettings, RegistrySubscription(subscriptionSettings(DaemonSettings),
+                                           randomSeed(DaemonSettings, 1))));
   JAYBRIDGE_TRY_STATUS(Created->start(DaemonSettings));
   return Created;
 }
@@ -93,6 +97,7 @@
   RequestPath_.reset();
   Peers_.stop();
   SubscriptionThread_.stop();
+  ReaderThread_.stop();
 }
 
 Status GatewayDaemon::start(const Settings &DaemonSettings) {
@@ -127,16 +132,7 @@
                                      {.Address_ = DaemonSettings.StatusAddress_,
                                       .Token_ = std::nullopt},
                                      std::move(Routes)));
-  SubscriptionThread_.reportSlowEvents([this](Duration Handling) {
-    Log_.write(
-        LogLevel::Warning, "slow-event",
-        {{"thread", "subscription"}, {"ms", std::to_string(Handling / 1ms)}});
-  });
-  SubscriptionThread_.start([this](RegistrySubscriptionEffect Effect)
-                                -> std::optional<RegistrySubscriptionEvent> {
-    deliver(std::move(Effect));
-    return std::nullopt;
-  });
+  startThreads();
   Peers_.beginDelivery();
   Log_.write(LogLevel::Info, "started",
              {{"duty", "gateway"},
@@ -147,6 +143,28 @@
   return success();
 }
 
+void GatewayDaemon::startThreads() {
+  auto LogSlowEvents = [this](const char *Thread) {
+    return [this, Thread](Duration Handling) {
+      Log_.write(LogLevel::Warning, "slow-event",
+                 {{"thread", Thread}, {"ms", std::to_string(Handling / 1ms)}});
+    };
+  };
+  SubscriptionThread_.reportSlowEvents(LogSlowEvents("subscription"));
+  ReaderThread_.reportSlowEvents(LogSlowEvents("configuration"));
+  ReaderThread_.start([this](DocumentRead Read) -> std::optional<ReadDocument> {
+    // Blocks while the ring is full: the subscription would wait forever for a
+    // lost table. This cannot deadlock, because it never waits for this thread.
+    (void)SubscriptionThread_.ring().push(std::move(Read));
+    return std::nullopt;
+  });
+  SubscriptionThread_.start([this](RegistrySubscriptionEffect Effect)
+                                -> std::optional<RegistrySubscriptionEvent> {
+    deliver(std::move(Effect));
+    return std::nullopt;
+  });
+}
+
 RequestPathSinks GatewayDaemon::requestSinks() {
   RequestPathSinks Sinks;
   // A daemon with the gateway duty has no idempotency keys, homes or forwarded
@@ -234,6 +252,12 @@
                    if (!Peers_.send(Send.To_, Send.Message_))
                      MessagesUnsent_.add();
                  },
+                 [this](ReadDocument &Request) {
+                   // Empty whenever the subscription requests a table.
+                   const bool IsQueued =
+                       ReaderThread_.ring().tryPush(std::move(Request));
+                   JAYBRIDGE_VERIFY(IsQueued);
+                 },
                  [this](auto &Update) { apply(Update); },
              },
              Effect);
--- a/Services/jaybridged/GatewayDaemon.h
+++ b/Services/jaybridged/GatewayDaemon.h
@@ -36,10 +36,11 @@
   void logReload();
 
 private:
-  using Subscription = RegistrySubscription<platform::ConfigurationDocument>;
+  using Reading = DocumentReading<platform::ConfigurationReader>;
 
-  GatewayDaemon(const Settings &DaemonSettings, Subscription Role);
+  GatewayDaemon(const Settings &DaemonSettings, RegistrySubscription Role);
   Status start(const Settings &DaemonSettings);
+  void startThreads();
   PeerSinks peerSinks();
   RequestPathSinks requestSinks();
   void deliver(RegistrySubscriptionEffect Effect);
@@ -70,7 +71,8 @@
   std::atomic<std::uint64_t> AppliedVersion_{0};
   std::atomic<bool> IsDraining_{false};
   RegistryPeers Peers_;
-  EventLoopThread<Subscription> SubscriptionThread_;
+  EventLoopThread<RegistrySubscription> SubscriptionThread_;
+  EventLoopThread<Reading> ReaderThread_;
   std::unique_ptr<RequestPath> RequestPath_;
   std::optional<ControlListener> StatusListener_;
 };
--- a/Tests/LibRegistry/RegistryFleet.cpp
+++ b/Tests/LibRegistry/RegistryFleet.cpp
@@ -38,6 +38,20 @@
   return Limits;
 }
 
+void answerReads(RegistrySubscription &Subscription, TimePoint Now,
+                 std::vector<RegistrySubscriptionEffect> &Effects) {
+  DocumentReading<LineDocument> Reading;
+  for (std::size_t Index = 0; Index < Effects.size(); ++Index) {
+    const auto *Requested = std::get_if<ReadDocument>(&Effects[Index]);
+    if (!Requested)
+      continue;
+    std::vector<DocumentRead> Read;
+    Reading.handle(*Requested, Now, Read);
+    for (DocumentRead &Each : Read)
+      Subscription.handle(std::move(Each), Now, Effects);
+  }
+}
+
 MemberId RegistryFleet::member(std::size_t Index) {
   return MemberId("10.0.0." + std::to_string(Index + 1) + ":7000");
 }
@@ -197,6 +211,7 @@
                            const RegistrySubscriptionEvent &Event) {
   std::vector<RegistrySubscriptionEffect> Effects;
   Gateways_[Index]->handle(Event, Now_, Effects);
+  answerReads(*Gateways_[Index], Now_, Effects);
   deliver(Index, std::move(Effects));
 }
 
--- a/Tests/LibRegistry/RegistryFleet.h
+++ b/Tests/LibRegistry/RegistryFleet.h
@@ -23,13 +23,18 @@
   static TeamLimits readTeamLimits(const std::string &Text);
 };
 
+/// Reads the documents that the subscription requested and appends the effects,
+/// as the thread of a daemon does.
+void answerReads(RegistrySubscription &Subscription, TimePoint Now,
+                 std::vector<RegistrySubscriptionEffect> &Effects);
+
 /// Simulates control members and gateways in logical time. Messages have a
 /// constant latency, and writes are synced at once. Members can be stopped,
 /// started with or without their data folder, and partitioned from each other.
 class RegistryFleet {
 public:
   using Control = ControlService<RegistryWireCodec, LineDocument>;
-  using Gateway = RegistrySubscription<LineDocument>;
+  using Gateway = RegistrySubscription;
 
   static constexpr Duration MessageLatency = 1ms;
   static constexpr Duration TimeStep = 10ms;
--- a/Tests/LibRegistry/TestRegistrySubscription.cpp
+++ b/Tests/LibRegistry/TestRegistrySubscription.cpp
@@ -24,8 +24,7 @@
   RegistrySubscriptionSettings Settings;
   Settings.Self_ = Endpoint::create("10.9.0.1:7000").takeValue();
   Settings.Seeds_ = {Member};
-  RegistrySubscription<LineDocument> Subscription(std::move(Settings),
-                                                  RandomSeed(1));
+  RegistrySubscription Subscription(std::move(Settings), RandomSeed(1));
   std::vector<RegistrySubscriptionEffect> Effects;
   TimePoint Now{1h};
   auto Count = [&]<typename Effect>(std::type_identity<Effect>) {
@@ -38,6 +37,7 @@
     Effects.clear();
     Subscription.handle(SubscriptionReceived{Member, std::move(Update)}, Now,
                         Effects);
+    answerReads(Subscription, Now, Effects);
   };
   RegistryUpdate First;
   First.Revision_ = LogIndex(7);
@@ -91,14 +91,14 @@
   RegistrySubscriptionSettings Settings;
   Settings.Self_ = Endpoint::create("10.9.0.1:7000").takeValue();
   Settings.Seeds_ = {Member};
-  RegistrySubscription<LineDocument> Subscription(std::move(Settings),
-                                                  RandomSeed(1));
+  RegistrySubscription Subscription(std::move(Settings), RandomSeed(1));
   RegistryUpdate Update;
   Update.Revision_ = LogIndex(7);
   Update.Document_ = StoredDocument{ConfigurationVersion(4), "4 a.example s"};
   std::vector<RegistrySubscriptionEffect> Effects;
   Subscription.handle(SubscriptionReceived{Member, Update}, TimePoint{1h},
                       Effects);
+  answerReads(Subscription, TimePoint{1h}, Effects);
   ASSERT_FALSE(Effects.empty());
   const auto *Confirmed = std::get_if<ControlMemberChanged>(&Effects.back());
   ASSERT_NE(Confirmed, nullptr);
