LibRuntime, jaybridged: Tell late wake-ups from long handling in the log

Cause: a leader lost its office although its thread handled no event for longer than 226 ms; the log could not say whether the thread got the processor. Change: event loops also report deadlines that they reach late.

--- a/Libraries/LibRuntime/EventLoopThread.h
+++ b/Libraries/LibRuntime/EventLoopThread.h
@@ -4,11 +4,25 @@
 #include <LibRuntime/BoundedRing.h>
 #include <LibRuntime/SystemClock.h>
 
+#include <algorithm>
 #include <functional>
 #include <thread>
 
 namespace jaybridge {
 
+/// Why an event loop is late.
+enum class LoopDelay {
+  /// One event took long.
+  Handling,
+  /// The thread did not run when its deadline was due: other threads of the
+  /// process had the processor, or the machine stood still.
+  Waking,
+};
+
+inline const char *loopDelayName(LoopDelay Kind) {
+  return Kind == LoopDelay::Handling ? "handling" : "waking";
+}
+
 /// Event loop of one decision object on a thread of its own. Events arrive
 /// through the ring; effects go to the sink on this thread. The thread sleeps
 /// until an event or the object's next deadline.
@@ -27,14 +41,14 @@
   EventLoopThread(const EventLoopThread &) = delete;
   EventLoopThread &operator=(const EventLoopThread &) = delete;
 
-  /// Time of handling from which an event is reported as slow. The shortest
-  /// time-outs between daemons are above it.
-  static constexpr Duration SlowEventThreshold = 200ms;
+  /// Delay from which it is reported. The shortest time-outs between daemons
+  /// are above it.
+  static constexpr Duration MinReportedDelay = 200ms;
 
-  /// Reports the handling time of each slow event, during which all events
-  /// behind it waited. Must be called before start().
-  void reportSlowEvents(std::function<void(Duration)> Report) {
-    ReportSlowEvent_ = std::move(Report);
+  /// Reports delays of the loop, during which all events waited. Must be called
+  /// before start().
+  void reportDelays(std::function<void(LoopDelay, Duration)> Report) {
+    ReportDelay_ = std::move(Report);
   }
 
   /// Queue of incoming events; any thread may push.
@@ -54,24 +68,28 @@
 
 private:
   void run() {
+    TimePoint HandledAt = monotonicNow();
     while (!Ring_.isClosedAndEmpty()) {
+      const std::optional<TimePoint> Deadline = Role_.nextDeadline();
       std::optional<std::chrono::steady_clock::time_point> WakeAt;
-      if (auto Deadline = Role_.nextDeadline())
+      if (Deadline)
         WakeAt = toSteadyTimePoint(*Deadline);
       std::optional<Event> Next = Ring_.pop(WakeAt);
       TimePoint Now = monotonicNow();
+      if (Deadline)
+        reportDelay(LoopDelay::Waking, Now - std::max(*Deadline, HandledAt));
       Role_.advance(Now, Effects_);
       if (Next)
         Role_.handle(*Next, Now, Effects_);
       deliverEffects(Now);
-      if (ReportSlowEvent_)
-        reportIfSlow(monotonicNow() - Now);
+      HandledAt = monotonicNow();
+      reportDelay(LoopDelay::Handling, HandledAt - Now);
     }
   }
 
-  void reportIfSlow(Duration Handling) {
-    if (Handling >= SlowEventThreshold)
-      ReportSlowEvent_(Handling);
+  void reportDelay(LoopDelay Kind, Duration Delay) {
+    if (ReportDelay_ && Delay >= MinReportedDelay)
+      ReportDelay_(Kind, Delay);
   }
 
   // Iterates by index: handling a returned event may append further effects.
@@ -89,7 +107,7 @@
   BoundedRing<Event> Ring_;
   Sink Deliver_;
   std::vector<Effect> Effects_;
-  std::function<void(Duration)> ReportSlowEvent_;
+  std::function<void(LoopDelay, Duration)> ReportDelay_;
   std::thread Thread_;
 };
 
--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -128,9 +128,11 @@
     else if (auto *Failed = std::get_if<PersistFailed>(&Event))
       (void)Control_.ring().push(ControlEvent(std::move(*Failed)));
   });
-  Control_.reportSlowEvents([this](Duration Handling) {
-    Log_.write(LogLevel::Warning, "slow-event",
-               {{"thread", "control"}, {"ms", std::to_string(Handling / 1ms)}});
+  Control_.reportDelays([this](LoopDelay Kind, Duration Delay) {
+    Log_.write(LogLevel::Warning, "event-loop-delay",
+               {{"thread", "control"},
+                {"cause", loopDelayName(Kind)},
+                {"ms", std::to_string(Delay / 1ms)}});
   });
   Control_.start(
       [this](ControlEffect Effect) { return deliver(std::move(Effect)); });
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -144,14 +144,16 @@
 }
 
 void GatewayDaemon::startThreads() {
-  auto LogSlowEvents = [this](const char *Thread) {
-    return [this, Thread](Duration Handling) {
-      Log_.write(LogLevel::Warning, "slow-event",
-                 {{"thread", Thread}, {"ms", std::to_string(Handling / 1ms)}});
+  auto LogDelays = [this](const char *Thread) {
+    return [this, Thread](LoopDelay Kind, Duration Delay) {
+      Log_.write(LogLevel::Warning, "event-loop-delay",
+                 {{"thread", Thread},
+                  {"cause", loopDelayName(Kind)},
+                  {"ms", std::to_string(Delay / 1ms)}});
     };
   };
-  SubscriptionThread_.reportSlowEvents(LogSlowEvents("subscription"));
-  ReaderThread_.reportSlowEvents(LogSlowEvents("configuration"));
+  SubscriptionThread_.reportDelays(LogDelays("subscription"));
+  ReaderThread_.reportDelays(LogDelays("configuration"));
   ReaderThread_.start([this](DocumentRead Read) -> std::optional<ReadDocument> {
     // Blocks while the ring is full: the subscription would wait forever for a
     // lost table. This cannot deadlock, because it never waits for this thread.
