LibRegistry: Publish the delta that was stored instead of computing it again

Cause: each control member computed the difference of each configuration again, in proportion to the whole text, in the thread that serves departures and limits. Change: subscribers get the delta of the log entry, whose base they have.

--- a/Libraries/LibRegistry/ControlService.h
+++ b/Libraries/LibRegistry/ControlService.h
@@ -395,13 +395,10 @@
       Log_.handle(PersistFailed{Command.error()}, Now, LogEffects_);
       return;
     }
-    std::optional<StoredDocument> Previous;
-    if (versionOf(Command.value()) > Registry_.version())
-      Previous = Registry_.document();
     RegistryChange Change = Registry_.apply(Command.value());
     if (Change.isEmpty())
       return;
-    publish(Committed.Index_, Previous, Change, Out);
+    publish(Committed.Index_, Command.value(), Change, Out);
     Out.emplace_back(RegistryCommandApplied{Revision_, Registry_.version(),
                                             Command.takeValue()});
   }
@@ -428,7 +425,7 @@
     Requests_.settle(Decided, Registry_, Out);
   }
 
-  void publish(LogIndex Revision, const std::optional<StoredDocument> &Previous,
+  void publish(LogIndex Revision, const RegistryCommand &Command,
                RegistryChange &Change, Effects &Out) {
     LogIndex BaseRevision = Revision_;
     Revision_ = Revision;
@@ -440,9 +437,10 @@
     RegistryUpdate Update;
     Update.BaseRevision_ = BaseRevision;
     Update.Revision_ = Revision;
-    if (Change.IsDocumentNew_ && Previous)
-      Update.Delta_ = computeDelta(*Previous, *Registry_.document());
-    if (Change.IsDocumentNew_ && !Update.Delta_)
+    // Subscribers at the base revision have the base of the delta.
+    if (const auto *Delta = std::get_if<DocumentDelta>(&Command))
+      Update.Delta_ = *Delta;
+    else if (Change.IsDocumentNew_)
       Update.Document_ = Registry_.document();
     Update.Instances_ = std::move(Change.Instances_);
     NotifySubscribers Notification;
