platform: Redirect configurations to the leader before reading them

Cause: a member that does not lead parsed and validated each configuration before it redirected the operator, 24 to 36 ms of a core for 4,200 routes, while gateways that follow it waited for departures and limits. Change: it redirects at once; only the leader reads. An invalid configuration is refused by the leader.

--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -180,6 +180,9 @@
             Api_.answer(Answered);
           },
           [this](const LeaderChanged &Changed) {
+            Api_.setOtherLeader(Changed.Leader_ == Peers_.self()
+                                    ? std::nullopt
+                                    : Changed.Leader_);
             Log_.write(
                 LogLevel::Info, "leader",
                 {{"member", Changed.Leader_ ? Changed.Leader_->text() : "none"},
