--- a/Tests/LibRegistry/TestRegistrySubscription.cpp
+++ b/Tests/LibRegistry/TestRegistrySubscription.cpp
@@ -2,6 +2,8 @@
 
 #include <Support/CaseName.h>
 
+#include <functional>
+
 namespace jaybridge {
 namespace {
 
@@ -108,5 +110,106 @@
   }));
 }
 
+const MemberId Followed("10.0.0.1:7000");
+
+/// A subscription that has version 4 in force, and receives version 5.
+struct ReadingGateway {
+  RegistrySubscription Subscription_;
+  std::vector<RegistrySubscriptionEffect> Effects_;
+  TimePoint Now_{1h};
+
+  ReadingGateway() : Subscription_(settings(), RandomSeed(1)) {
+    receive(update(std::nullopt, 7, 4));
+    answerReads(Subscription_, Now_, Effects_);
+    receive(update(7, 8, 5));
+  }
+  static RegistrySubscriptionSettings settings() {
+    RegistrySubscriptionSettings Settings;
+    Settings.Self_ = Endpoint::create("10.9.0.1:7000").takeValue();
+    Settings.Seeds_ = {Followed};
+    return Settings;
+  }
+  static RegistryUpdate update(std::optional<std::uint64_t> Base,
+                               std::uint64_t Revision, std::uint64_t Version) {
+    RegistryUpdate Update;
+    if (Base)
+      Update.BaseRevision_ = LogIndex(*Base);
+    Update.Revision_ = LogIndex(Revision);
+    Update.Document_ = StoredDocument{ConfigurationVersion(Version),
+                                      std::to_string(Version) + " a.example s"};
+    return Update;
+  }
+  void receive(SubscriptionMessage Message) {
+    Effects_.clear();
+    Subscription_.handle(SubscriptionReceived{Followed, std::move(Message)},
+                         Now_, Effects_);
+  }
+  template <typename Effect> std::vector<Effect> take() const {
+    std::vector<Effect> Taken;
+    for (const RegistrySubscriptionEffect &Each : Effects_)
+      if (const auto *Found = std::get_if<Effect>(&Each))
+        Taken.push_back(*Found);
+    return Taken;
+  }
+};
+
+struct WhileReadingCase {
+  const char *Name_;
+  SubscriptionMessage Message_;
+  std::function<bool(const ReadingGateway &)> IsPassedOn_;
+};
+
+class WhileReadingTest : public testing::TestWithParam<WhileReadingCase> {};
+
+// Guards against departures, limits and retries that wait until a configuration
+// has been read.
+TEST_P(WhileReadingTest, PassesOnUrgentMessages) {
+  ReadingGateway Gateway;
+  ASSERT_EQ(Gateway.take<ReadDocument>().size(), 1U);
+  Gateway.receive(GetParam().Message_);
+  EXPECT_TRUE(GetParam().IsPassedOn_(Gateway));
+}
+
+RegistryUpdate departure() {
+  RegistryUpdate Update;
+  Update.BaseRevision_ = LogIndex(8);
+  Update.Revision_ = LogIndex(9);
+  InstanceRecord Left;
+  Left.Id_ = InstanceId("i1");
+  Left.State_ = InstanceState::Draining;
+  Update.Instances_ = {Left};
+  return Update;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Messages, WhileReadingTest,
+    testing::Values(
+        WhileReadingCase{"Departure", departure(),
+                         [](const ReadingGateway &Gateway) {
+                           return Gateway.take<InstanceChanged>().size() == 1;
+                         }},
+        WhileReadingCase{"Limits", TokenGrant{},
+                         [](const ReadingGateway &Gateway) {
+                           return Gateway.take<TokensGranted>().size() == 1;
+                         }}),
+    CaseName());
+
+// Guards against gateways that read every version of a quick succession and
+// fall ever further behind.
+TEST(RegistrySubscriptionTest, SkipsVersionsThatALaterOneHasOvertaken) {
+  ReadingGateway Gateway;
+  const std::vector<ReadDocument> First = Gateway.take<ReadDocument>();
+  ASSERT_EQ(First.size(), 1U);
+  for (std::uint64_t Later = 0; Later < 10; ++Later) {
+    Gateway.receive(ReadingGateway::update(8 + Later, 9 + Later, 6 + Later));
+    EXPECT_TRUE(Gateway.take<ReadDocument>().empty());
+  }
+  Gateway.Effects_.assign({First.front()});
+  answerReads(Gateway.Subscription_, Gateway.Now_, Gateway.Effects_);
+  const std::vector<ReadDocument> Read = Gateway.take<ReadDocument>();
+  ASSERT_EQ(Read.size(), 2U);
+  EXPECT_EQ(Read.back().Document_.Version_, ConfigurationVersion(15));
+}
+
 } // namespace
 } // namespace jaybridge
--- a/Tests/platform/TestConfigurationDocument.cpp
+++ b/Tests/platform/TestConfigurationDocument.cpp
@@ -225,5 +225,53 @@
                     PublicCase{"Number", R"("Public":1,)", std::nullopt}),
     CaseName());
 
+/// Routes of a document that follows one with the route r1 to s1.
+struct SuccessorCase {
+  const char *Name_;
+  std::string Routes_;
+  /// Service of the route; none if the document is invalid.
+  std::optional<std::string> Service_;
+};
+
+class SuccessorTest : public testing::TestWithParam<SuccessorCase> {};
+
+// Guards against a reader that takes a route from the previous document though
+// it changed, or accepts a text because it resembles the previous one.
+TEST_P(SuccessorTest, IsReadLikeAFirstDocument) {
+  platform::ConfigurationReader Reader;
+  ASSERT_TRUE(Reader.read(ValidDocument));
+  const auto Read = Reader.read(documentWithRoutes(GetParam().Routes_));
+  ASSERT_EQ(Read.hasValue(), GetParam().Service_.has_value());
+  if (!Read)
+    return;
+  const Route *Found = Read.value().find(HostName("a.example"), "/a/b");
+  ASSERT_NE(Found, nullptr);
+  EXPECT_EQ(Found->Values_.WeightedServices_.front().Service_,
+            ServiceName(*GetParam().Service_));
+}
+
+const std::string FirstRoute =
+    routeWithFields(R"("Service":"s1","MaxAttempts":2)");
+const std::string ChangedRoute =
+    routeWithFields(R"("Service":"s2","MaxAttempts":2)");
+
+INSTANTIATE_TEST_SUITE_P(
+    Texts, SuccessorTest,
+    testing::Values(
+        SuccessorCase{"Unchanged", FirstRoute, "s1"},
+        SuccessorCase{"Changed", ChangedRoute, "s2"},
+        SuccessorCase{"WithSpace", " \n" + ChangedRoute + " \t", "s2"},
+        SuccessorCase{"OneNameTwice", FirstRoute + "," + ChangedRoute, "s2"},
+        SuccessorCase{
+            "BracesInANote",
+            routeWithFields(R"("Note":"}\"{,","Service":"s2","MaxAttempts":2)"),
+            "s2"},
+        SuccessorCase{"NoComma", FirstRoute + " " + FirstRoute, std::nullopt},
+        SuccessorCase{"CommaAtTheEnd", FirstRoute + ",", std::nullopt},
+        SuccessorCase{"TextBehindARoute", FirstRoute + " 1", std::nullopt},
+        SuccessorCase{"BracketsCrossed", R"("r1":{"Host":["a"}])",
+                      std::nullopt}),
+    CaseName());
+
 } // namespace
 } // namespace jaybridge
--- a/Tests/platform/TestLargeConfiguration.cpp
+++ b/Tests/platform/TestLargeConfiguration.cpp
@@ -61,12 +61,23 @@
             Case.MaxRatio_ * static_cast<double>(Reference / 1us));
 }
 
+const std::string ChangedText = documentText(8, ManyRoutes, 1);
+
+/// Reads a document that differs from the previous one in one route.
+void readChange() {
+  static platform::ConfigurationReader Reader;
+  static bool IsChanged = false;
+  IsChanged = !IsChanged;
+  ASSERT_TRUE(Reader.read(IsChanged ? ChangedText : ManyText));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Documents, ConfigurationWorkTest,
     testing::Values(
         // Three times as much as in proportion, for caches.
         WorkCase{"WholeDocument", [] { readWhole(ManyText); },
                  [] { readWhole(FewText); }, 3.0 * ManyRoutes / FewRoutes},
+        WorkCase{"OneChange", readChange, [] { readWhole(ManyText); }, 0.4},
         WorkCase{"LimitsOfTeams",
                  [] {
                    ASSERT_EQ(
