LibRegistry, platform: Compare and divide configurations in one pass

Cause: the leader spends 8.9 ms of a core in its control thread and 9.7 ms in its listener for each change of one route among 4,200 (threads of a fleet of three members, ten changes), gateways 8.2 ms; a member has 0.15 cores.

--- a/Libraries/LibRegistry/DocumentDelta.cpp
+++ b/Libraries/LibRegistry/DocumentDelta.cpp
@@ -2,8 +2,8 @@
 
 #include <LibCore/Hash.h>
 
-#include <map>
 #include <string_view>
+#include <unordered_map>
 
 namespace jaybridge {
 
@@ -24,27 +24,60 @@
   return Pieces;
 }
 
+/// Builds a delta piece by piece, in the order of the target.
 class DeltaBuilder {
 public:
-  explicit DeltaBuilder(std::string_view Base) : Base_(Base) {
-    for (std::string_view Piece : splitPieces(Base))
-      Offsets_.try_emplace(Piece, Piece.data() - Base.data());
+  explicit DeltaBuilder(std::string_view Base)
+      : Base_(Base), Pieces_(splitPieces(Base)) {}
+
+  /// Following is the next piece of the target; empty at its end.
+  void add(std::string_view Piece, std::string_view Following) {
+    if (isAt(Next_, Piece))
+      return copy(Next_);
+    // Most changes replace or insert single pieces, behind which the target
+    // continues like the base.
+    if (isAt(Next_ + 1, Following)) {
+      ++Next_;
+      return addText(Piece);
+    }
+    if (isAt(Next_, Following))
+      return addText(Piece);
+    if (auto Found = find(Piece))
+      return copy(*Found);
+    addText(Piece);
+  }
+
+  std::size_t size() const { return Size_; }
+  std::vector<std::variant<CopyRange, std::string>> take() {
+    return std::move(Parts_);
   }
 
-  void add(std::string_view Piece) {
-    // Extends the last copy range if possible: equal pieces may occur at
-    // several offsets of the base.
-    if (CopyRange *Last = lastRange();
-        Last &&
-        Base_.substr(Last->Offset_ + Last->Length_).starts_with(Piece)) {
+private:
+  bool isAt(std::size_t Index, std::string_view Piece) const {
+    return Index < Pieces_.size() && Pieces_[Index] == Piece;
+  }
+  std::optional<std::size_t> find(std::string_view Piece) {
+    if (Indices_.empty())
+      for (std::size_t Index = 0; Index < Pieces_.size(); ++Index)
+        Indices_.try_emplace(Pieces_[Index], Index);
+    if (auto Found = Indices_.find(Piece); Found != Indices_.end())
+      return Found->second;
+    return std::nullopt;
+  }
+  void copy(std::size_t Index) {
+    const std::string_view Piece = Pieces_[Index];
+    const std::uint64_t Offset = Piece.data() - Base_.data();
+    Next_ = Index + 1;
+    auto *Last =
+        Parts_.empty() ? nullptr : std::get_if<CopyRange>(&Parts_.back());
+    if (Last && Last->Offset_ + Last->Length_ == Offset) {
       Last->Length_ += Piece.size();
       return;
     }
-    if (auto Found = Offsets_.find(Piece); Found != Offsets_.end()) {
-      Parts_.emplace_back(CopyRange{Found->second, Piece.size()});
-      Size_ += CopyRangeSize;
-      return;
-    }
+    Parts_.emplace_back(CopyRange{Offset, Piece.size()});
+    Size_ += CopyRangeSize;
+  }
+  void addText(std::string_view Piece) {
     Size_ += Piece.size();
     if (!Parts_.empty())
       if (auto *Text = std::get_if<std::string>(&Parts_.back())) {
@@ -54,18 +87,12 @@
     Parts_.emplace_back(std::string(Piece));
   }
 
-  std::size_t size() const { return Size_; }
-  std::vector<std::variant<CopyRange, std::string>> take() {
-    return std::move(Parts_);
-  }
-
-private:
-  CopyRange *lastRange() {
-    return Parts_.empty() ? nullptr : std::get_if<CopyRange>(&Parts_.back());
-  }
-
   std::string_view Base_;
-  std::map<std::string_view, std::uint64_t> Offsets_;
+  std::vector<std::string_view> Pieces_;
+  /// Index of the piece behind the last one that was copied or replaced.
+  std::size_t Next_ = 0;
+  /// Indices of the pieces; empty until a search needs them.
+  std::unordered_map<std::string_view, std::size_t> Indices_;
   std::vector<std::variant<CopyRange, std::string>> Parts_;
   std::size_t Size_ = 0;
 };
@@ -79,8 +106,10 @@
 std::optional<DocumentDelta> computeDelta(const StoredDocument &Base,
                                           const StoredDocument &Target) {
   DeltaBuilder Builder(Base.Text_);
-  for (std::string_view Piece : splitPieces(Target.Text_))
-    Builder.add(Piece);
+  const std::vector<std::string_view> Pieces = splitPieces(Target.Text_);
+  for (std::size_t Index = 0; Index < Pieces.size(); ++Index)
+    Builder.add(Pieces[Index], Index + 1 < Pieces.size() ? Pieces[Index + 1]
+                                                         : std::string_view());
   if (Builder.size() > Target.Text_.size() / 2)
     return std::nullopt;
   return DocumentDelta{Base.Version_, Target.Version_, Builder.take(),
