platform, jaybridged: Give way while many routes are parsed

Cause: a thread that parses for 15 ms of a core has the processor of a machine with a tenth of one for 150 ms; tokens of limited teams are awaited for as long.

Change: the reader yields after each 64 new routes.

--- a/Libraries/LibRegistry/DocumentReading.h
+++ b/Libraries/LibRegistry/DocumentReading.h
@@ -38,6 +38,8 @@
   using Event = ReadDocument;
   using Effect = DocumentRead;
 
+  explicit DocumentReading(Reader Used = {}) : Reader_(std::move(Used)) {}
+
   void handle(const ReadDocument &Request, TimePoint,
               std::vector<DocumentRead> &Out) {
     const ConfigurationVersion Version = Request.Document_.Version_;
--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -68,7 +68,9 @@
           Metrics_.histogram(MetricName("jaybridge_attempt_seconds"))),
       Peers_(DaemonSettings, peerSinks()),
       SubscriptionThread_(std::move(Role), SubscriptionRingCapacity),
-      ReaderThread_(Reading(), ReaderRingCapacity) {}
+      ReaderThread_(Reading(platform::ConfigurationReader(
+                        [] { std::this_thread::yield(); })),
+                    ReaderRingCapacity) {}
 
 PeerSinks GatewayDaemon::peerSinks() {
   PeerSinks Sinks;
