--- a/Tests/platform/DutyFleet.cpp
+++ b/Tests/platform/DutyFleet.cpp
@@ -151,8 +151,7 @@
                                     const std::string &Path,
                                     const std::string &Body) {
   LoadRequest Call;
-  Call.Target_ =
-      Endpoint::create(memberAddress(Member), ControlPort_).takeValue();
+  Call.Target_ = controlEndpointOf(Member);
   Call.Method_ = Method;
   Call.Path_ = Path;
   Call.Headers_ = {"Content-Type: application/json"};
@@ -239,8 +238,7 @@
 
 LoadResponse DutyFleet::explain(std::size_t Gateway, const std::string &Query) {
   LoadRequest Asked = request(Gateway, "GET", "/explain?" + Query);
-  Asked.Target_ =
-      Endpoint::create(gatewayAddress(Gateway), StatusPort_).takeValue();
+  Asked.Target_ = statusEndpointOf(Gateway);
   return runLoad({Asked}, {})[0];
 }
 
@@ -253,9 +251,9 @@
   return Ended;
 }
 
-ByteCount DutyFleet::peakMemoryOf(std::size_t Gateway) const {
-  std::ifstream Status(
-      "/proc/" + std::to_string(Gateways_[Gateway].processId()) + "/status");
+ByteCount DutyFleet::peakMemoryOf(const ChildProcess &Process) {
+  std::ifstream Status("/proc/" + std::to_string(Process.processId()) +
+                       "/status");
   std::string Name;
   std::size_t Kilobytes = 0;
   while (Status >> Name && Name != "VmHWM:") {
@@ -264,9 +262,9 @@
   return ByteCount(Kilobytes * 1024);
 }
 
-std::size_t DutyFleet::openDescriptorsOf(std::size_t Gateway) const {
+std::size_t DutyFleet::openDescriptorsOf(const ChildProcess &Process) {
   const std::filesystem::directory_iterator Descriptors(
-      "/proc/" + std::to_string(Gateways_[Gateway].processId()) + "/fd");
+      "/proc/" + std::to_string(Process.processId()) + "/fd");
   return static_cast<std::size_t>(
       std::distance(begin(Descriptors), end(Descriptors)));
 }
@@ -275,4 +273,12 @@
   return Endpoint::create(gatewayAddress(Gateway), CallerPort_).takeValue();
 }
 
+Endpoint DutyFleet::statusEndpointOf(std::size_t Gateway) const {
+  return Endpoint::create(gatewayAddress(Gateway), StatusPort_).takeValue();
+}
+
+Endpoint DutyFleet::controlEndpointOf(std::size_t Member) const {
+  return Endpoint::create(memberAddress(Member), ControlPort_).takeValue();
+}
+
 } // namespace jaybridge
--- a/Tests/platform/DutyFleet.h
+++ b/Tests/platform/DutyFleet.h
@@ -55,13 +55,24 @@
   }
   /// Waits until the process of a gateway has ended by itself.
   [[nodiscard]] bool waitUntilGatewayEnds(std::size_t Gateway) const;
+  /// Calls the HTTP interface of a control member.
+  LoadResponse callControl(std::size_t Member, const std::string &Method,
+                           const std::string &Path, const std::string &Body);
   /// Processes that have ended by themselves.
   std::size_t endedProcesses() const;
-  /// Peak memory of a gateway.
-  ByteCount peakMemoryOf(std::size_t Gateway) const;
-  /// Number of file descriptors that a gateway has open.
-  std::size_t openDescriptorsOf(std::size_t Gateway) const;
+  const ChildProcess &gateway(std::size_t Index) const {
+    return Gateways_[Index];
+  }
+  const ChildProcess &controlMember(std::size_t Index) const {
+    return Members_[Index];
+  }
+  /// Peak memory of a process.
+  static ByteCount peakMemoryOf(const ChildProcess &Process);
+  /// Number of file descriptors that a process has open.
+  static std::size_t openDescriptorsOf(const ChildProcess &Process);
   Endpoint callerEndpointOf(std::size_t Gateway) const;
+  Endpoint statusEndpointOf(std::size_t Gateway) const;
+  Endpoint controlEndpointOf(std::size_t Member) const;
 
 private:
   static constexpr std::size_t MemberCount = 3;
@@ -75,8 +86,6 @@
   void startControlMember(std::size_t Index);
   void startGateway(std::size_t Index);
   bool writeConfiguration();
-  LoadResponse callControl(std::size_t Member, const std::string &Method,
-                           const std::string &Path, const std::string &Body);
   std::string memberAddress(std::size_t Index) const;
   std::string gatewayAddress(std::size_t Index) const;
   std::string seeds() const;
--- a/Tests/platform/TestFaultyInstances.cpp
+++ b/Tests/platform/TestFaultyInstances.cpp
@@ -289,8 +289,8 @@
   }
   EXPECT_GE(Served, EndlessRequests / 2) << "requests of others";
   EXPECT_EQ(Fleet.endedProcesses(), 0U);
-  EXPECT_LT(Fleet.peakMemoryOf(0), GatewayMemory)
-      << Fleet.peakMemoryOf(0).value() / 1000000 << " MB";
+  EXPECT_LT(DutyFleet::peakMemoryOf(Fleet.gateway(0)), GatewayMemory)
+      << DutyFleet::peakMemoryOf(Fleet.gateway(0)).value() / 1000000 << " MB";
   EXPECT_TRUE(Fleet.waitUntilServing("/safe/ready"));
 }
 
