LibHTTP: Bound what clients of control, status and operators' listeners hold

What clients saw: 120 of them, each one byte short of a body of 8 MiB, ended a control member on a machine of 256 MB; so did bodies in chunks. A gateway's status listener took 72 to 685 MiB from 600 bodies of its limit.

Cause: the control listener left reading to RESTinio, which buffers each body up to its limit (four times the configured one) and keeps 24 bytes or more for each chunk, without a bound on all bodies together or on connections, and without a deadline for progress. The bounds of callers protected the callers' port only.

Change: the control listener runs on the server of the callers' listener, with its budget, deadlines and bound on connections: 2 MiB by default, 64 MiB on a control member, whose largest document has 32 MiB. The former bound on answers of 60 s stays, as an option of that server.

--- a/Libraries/LibHTTP/CallerConnection.cpp
+++ b/Libraries/LibHTTP/CallerConnection.cpp
@@ -28,7 +28,8 @@
                                    asio::ip::tcp::socket Socket,
                                    CallerServer &Server)
     : Id_(Id), Socket_(std::move(Socket)), Server_(Server),
-      Reader_(Server.options().BodyLimit_), Timeouts_(monotonicNow()) {}
+      Reader_(Server.options().BodyLimit_),
+      Timeouts_(monotonicNow(), Server.options().AnswerTimeout_) {}
 
 void CallerConnection::start() {
   asio::error_code Ignored;
--- a/Libraries/LibHTTP/CallerListener.h
+++ b/Libraries/LibHTTP/CallerListener.h
@@ -24,6 +24,9 @@
   ConnectionCount MaxConnections_{4096};
   /// Bytes of all requests together that are not answered yet.
   ByteCount ReceiveLimit_{128UL * 1024 * 1024};
+  /// Time after which a connection without an answer is closed; none if the
+  /// receiver bounds it.
+  std::optional<Duration> AnswerTimeout_{};
   HeaderDialect Dialect_{};
 };
 
--- a/Libraries/LibHTTP/ConnectionTimeouts.h
+++ b/Libraries/LibHTTP/ConnectionTimeouts.h
@@ -29,7 +29,11 @@
   static constexpr ByteCount MinBodyProgress{16UL * 1024};
   static constexpr Duration ClosingTimeout = 2s;
 
-  explicit ConnectionTimeouts(TimePoint Now) : Since_(Now) {}
+  /// Without an answer timeout, connections wait for their answers for as long
+  /// as it takes.
+  explicit ConnectionTimeouts(TimePoint Now,
+                              std::optional<Duration> AnswerTimeout = {})
+      : AnswerTimeout_(AnswerTimeout), Since_(Now) {}
 
   /// Changes the phase. Entering the present phase again does not restart its
   /// time.
@@ -60,6 +64,8 @@
     case ConnectionPhase::Closing:
       return Since_ + ClosingTimeout;
     case ConnectionPhase::Answering:
+      if (AnswerTimeout_)
+        return Since_ + *AnswerTimeout_;
       break;
     }
     return std::nullopt;
@@ -76,6 +82,7 @@
   }
 
 private:
+  std::optional<Duration> AnswerTimeout_;
   ConnectionPhase Phase_ = ConnectionPhase::Idle;
   TimePoint Since_;
   ByteCount BodyProgress_;
--- a/Libraries/LibHTTP/ControlListener.cpp
+++ b/Libraries/LibHTTP/ControlListener.cpp
@@ -1,8 +1,8 @@
 #include <LibHTTP/ControlListener.h>
 
+#include <LibHTTP/CallerServer.h>
 #include <LibHTTP/HeaderRules.h>
 #include <LibHTTP/ProblemDocument.h>
-#include <LibHTTP/ServerThread.h>
 
 #include <nlohmann/json.hpp>
 
@@ -14,11 +14,7 @@
 namespace {
 
 /// Bounds how long a connection stays open when a handler never replies.
-constexpr auto HandlingTimeout = std::chrono::seconds(60);
-/// RESTinio closes the connection without a response when its own body limit is
-/// exceeded. Its limit is therefore this multiple of the configured one, so
-/// that moderately oversized bodies are read and answered with 413.
-constexpr std::uint64_t BodyReadLimitFactor = 4;
+constexpr Duration HandlingTimeout = 60s;
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr const char *MetricsContentType =
     "text/plain; version=0.0.4; charset=utf-8";
@@ -36,39 +32,36 @@
                                     : Path == Route.Path_;
 }
 
-ControlRequest toControlRequest(const restinio::request_handle_t &Received) {
-  ControlRequest Parsed;
-  const auto &HTTPHeader = Received->header();
-  Parsed.Method_ = HTTPHeader.method().c_str();
-  Parsed.Path_ = std::string(HTTPHeader.path());
-  Parsed.Query_ = std::string(HTTPHeader.query());
-  HTTPHeader.for_each_field([&](const auto &Field) {
-    Parsed.Headers_.push_back(Header{Field.name(), Field.value()});
-  });
-  Parsed.Body_ = Received->body();
-  return Parsed;
+ControlRequest toControlRequest(const Request &Received) {
+  const std::size_t Path =
+      std::min(Received.Target_.find('?'), Received.Target_.size());
+  const std::size_t Query = std::min(Path + 1, Received.Target_.size());
+  return {Received.Method_, Received.Target_.substr(0, Path),
+          Received.Target_.substr(Query), Received.Headers_, *Received.Body_};
 }
 
-void writeResponse(const restinio::request_handle_t &Received,
-                   ControlResponse Content) {
-  try {
-    auto ResponseBuilder =
-        Received->create_response(restinio::http_status_line_t(
-            restinio::http_status_code_t(Content.Status_.value()),
-            reasonPhrase(Content.Status_)));
-    if (Content.Status_ == StatusCode(401))
-      ResponseBuilder.append_header("WWW-Authenticate", "Bearer");
-    ResponseBuilder.append_header("Content-Type",
-                                  std::move(Content.ContentType_));
-    for (Header &Field : Content.Headers_)
-      ResponseBuilder.append_header(std::move(Field.Name_),
-                                    std::move(Field.Value_));
-    ResponseBuilder.set_body(std::move(Content.Body_));
-    ResponseBuilder.done();
-  } catch (const std::exception &) {
-    // RESTinio throws when the connection has been closed in the meantime, or
-    // for a second response to the same request.
-  }
+Response toResponse(ControlResponse Content) {
+  Response Converted{
+      Content.Status_, std::move(Content.Headers_),
+      std::make_shared<const std::string>(std::move(Content.Body_))};
+  if (Content.Status_ == StatusCode(401))
+    Converted.Headers_.push_back({"WWW-Authenticate", "Bearer"});
+  Converted.Headers_.push_back(
+      {"Content-Type", std::move(Content.ContentType_)});
+  return Converted;
+}
+
+CallerListenerOptions serverOptions(const ControlListenerOptions &Options) {
+  CallerListenerOptions Server;
+  Server.Address_ = Options.Address_;
+  Server.BodyLimit_ = Options.BodyLimit_;
+  Server.ReceiveLimit_ = Options.ReceiveLimit_;
+  Server.MaxConnections_ = Options.MaxConnections_;
+  Server.AnswerTimeout_ = HandlingTimeout;
+  // Paths are not services.
+  Server.Dialect_.Addressing_ = ServiceAddressing::HostAndPath;
+  Server.Dialect_.Deadline_.clear();
+  return Server;
 }
 
 } // namespace
@@ -76,42 +69,40 @@
 class ControlListener::Server {
 public:
   Server(ControlListenerOptions Options, std::vector<ControlRoute> Routes)
-      : Options_(std::move(Options)), Routes_(std::move(Routes)) {
+      : Options_(std::move(Options)), Routes_(std::move(Routes)),
+        Connections_(std::make_shared<CallerServer>(
+            serverOptions(Options_),
+            CallerListenerCallbacks{
+                [this](const std::shared_ptr<const Request> &Received) {
+                  onRequest(*Received);
+                  return true;
+                },
+                [](const RequestId &) {}})) {
     std::stable_sort(Routes_.begin(), Routes_.end(),
                      [](const auto &Left, const auto &Right) {
                        return Left.Path_.size() > Right.Path_.size();
                      });
   }
-  ~Server() { Thread_->stop(); }
-
-  Status start() {
-    restinio::server_settings_t<restinio::default_single_thread_traits_t>
-        Settings;
-    Settings.handle_request_timeout(HandlingTimeout)
-        .incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t{}.max_body_size(
-                Options_.BodyLimit_.value() * BodyReadLimitFactor))
-        .request_handler([this](restinio::request_handle_t Received) { // NOLINT
-          onRequest(Received);
-          return restinio::request_accepted();
-        });
-    JAYBRIDGE_TRY(Address_,
-                  Thread_->start(Options_.Address_, std::move(Settings)));
-    return success();
-  }
+  ~Server() { stop(); }
 
-  void stop() { Thread_->stop(); }
-  const Endpoint &address() const { return Address_; }
+  Status start() { return Connections_->start(); }
+  void stop() { Connections_->stop(); }
+  const Endpoint &address() const { return Connections_->address(); }
   ControlListenerCounts counts() const {
     return {EventCount(Received_), EventCount(Unauthorized_)};
   }
 
 private:
-  using Thread = ServerThread<restinio::default_single_thread_traits_t>;
-
-  void onRequest(const restinio::request_handle_t &Handle) {
+  void onRequest(const Request &Incoming) {
     Received_.fetch_add(1, std::memory_order_relaxed);
-    ControlRequest Received = toControlRequest(Handle);
+    // The reply function may outlive this listener; it then does nothing.
+    const ControlReply Reply = [Weak = std::weak_ptr(Connections_),
+                                Id = Incoming.Id_](ControlResponse Content) {
+      if (auto Open = Weak.lock())
+        Open->answer(Id, toResponse(std::move(Content)),
+                     ConfigurationVersion());
+    };
+    ControlRequest Received = toControlRequest(Incoming);
     auto Found = std::find_if(Routes_.begin(), Routes_.end(),
                               [&](const ControlRoute &Route) {
                                 return Route.Method_ == Received.Method_ &&
@@ -123,28 +114,12 @@
          Found->Access_ == ControlAccess::TokenRequired) &&
         !isAuthorized(Received)) {
       Unauthorized_.fetch_add(1, std::memory_order_relaxed);
-      writeResponse(Handle, problemResponse(StatusCode(401),
-                                            "a valid token is required"));
-      return;
-    }
-    if (Found == Routes_.end()) {
-      writeResponse(
-          Handle, problemResponse(StatusCode(404), "no such method and path"));
-      return;
+      return Reply(
+          problemResponse(StatusCode(401), "a valid token is required"));
     }
-    if (Received.Body_.size() > Options_.BodyLimit_.value()) {
-      writeResponse(Handle,
-                    problemResponse(StatusCode(413), "the body is too long"));
-      return;
-    }
-    // The reply function may outlive this listener; it then does nothing.
-    Found->Handler_(std::move(Received), [WeakThread = std::weak_ptr(Thread_),
-                                          Handle](ControlResponse Content) {
-      if (auto LiveThread = WeakThread.lock())
-        LiveThread->post([Handle, Content = std::move(Content)]() mutable {
-          writeResponse(Handle, std::move(Content));
-        });
-    });
+    if (Found == Routes_.end())
+      return Reply(problemResponse(StatusCode(404), "no such method and path"));
+    Found->Handler_(std::move(Received), Reply);
   }
 
   bool isAuthorized(const ControlRequest &Received) const {
@@ -160,10 +135,9 @@
 
   ControlListenerOptions Options_;
   std::vector<ControlRoute> Routes_;
-  Endpoint Address_;
   std::atomic<std::uint64_t> Received_ = 0;
   std::atomic<std::uint64_t> Unauthorized_ = 0;
-  std::shared_ptr<Thread> Thread_ = std::make_shared<Thread>();
+  std::shared_ptr<CallerServer> Connections_;
 };
 
 ControlListener::ControlListener(std::unique_ptr<Server> Running)
--- a/Libraries/LibHTTP/ControlListener.h
+++ b/Libraries/LibHTTP/ControlListener.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Result.h>
 #include <LibExchange/Request.h>
+#include <LibHTTP/CallerListener.h>
 #include <LibRuntime/AccessToken.h>
 
 #include <functional>
@@ -49,6 +50,12 @@
   /// answered with 404.
   std::optional<AccessToken> Token_;
   ByteCount BodyLimit_{64UL * 1024};
+  /// Bytes of all requests together that are not answered yet. At least one
+  /// request of the greatest size has to fit.
+  ByteCount ReceiveLimit_{2UL * 1024 * 1024};
+  /// Beyond this number, the connection that was idle for longest is closed for
+  /// a new one.
+  ConnectionCount MaxConnections_{2048};
 };
 
 struct ControlListenerCounts {
@@ -58,7 +65,9 @@
 };
 
 /// HTTP/1.1 server for announcements or operators, which runs on its own
-/// thread. Clients authenticate with `Authorization: Bearer TOKEN`.
+/// thread. Clients authenticate with `Authorization: Bearer TOKEN`. What they
+/// send is bounded as for callers: requests that do not fit are refused with
+/// 503, and stalled ones are cut off.
 class ControlListener {
 public:
   /// Binds the address and starts the thread. Fails with `Unavailable` when the
--- a/Services/jaybridged/ControlDaemon.cpp
+++ b/Services/jaybridged/ControlDaemon.cpp
@@ -14,6 +14,9 @@
 constexpr RingCapacity EvidenceBacklog(256);
 /// Fits a complete configuration document with tens of thousands of routes.
 constexpr ByteCount MaxDocumentSize(32UL * 1024 * 1024);
+/// Bytes of all calls together that are not answered yet: a quarter of the
+/// memory of a small control member, and more than the greatest document.
+constexpr ByteCount ReceiveLimit(64UL * 1024 * 1024);
 /// Longer than is usual within a rack, because traffic between failure domains
 /// is expensive. An election still ends well within the time that operators
 /// wait.
@@ -117,7 +120,8 @@
   JAYBRIDGE_TRY(Listener_, ControlListener::create(
                                {.Address_ = DaemonSettings.OperatorAddress_,
                                 .Token_ = std::move(Token),
-                                .BodyLimit_ = MaxDocumentSize},
+                                .BodyLimit_ = MaxDocumentSize,
+                                .ReceiveLimit_ = ReceiveLimit},
                                std::move(Routes)));
   Storage_->start([this](ReplicationEvent Event) {
     // Blocks while the ring is full: the log would wait forever for a lost
