--- a/Meta/dependencies.sh
+++ b/Meta/dependencies.sh
@@ -1,7 +1,7 @@
 # Debian packages required by the build, the tests and the benchmarks.
 JAYBRIDGE_PACKAGES=(
   g++ cmake ninja-build ccache clang-format clang-tidy curl
-  libasio-dev librestinio-dev libhttp-parser-dev libcapnp-dev capnproto
+  libasio-dev libhttp-parser-dev libcapnp-dev capnproto
   libcurl4-openssl-dev libgflags-dev libspdlog-dev libboost-dev libxxhash-dev zlib1g-dev
   nlohmann-json3-dev librapidcheck-dev libgtest-dev libgmock-dev
   libbenchmark-dev spin gnuplot-nox
