jaybridged: Stop the subscription of a gateway before its request path

Cause: by reading, not seen: at the end of a gateway the request path was destroyed while messages of peers could still pass effects on to it; reading in a thread of its own makes that time longer. Change: peers, subscription and reader stop first.

--- a/Services/jaybridged/GatewayDaemon.cpp
+++ b/Services/jaybridged/GatewayDaemon.cpp
@@ -96,10 +96,11 @@
 
 GatewayDaemon::~GatewayDaemon() {
   StatusListener_.reset();
-  RequestPath_.reset();
   Peers_.stop();
   SubscriptionThread_.stop();
   ReaderThread_.stop();
+  // Last, since the subscription passes its effects on to it.
+  RequestPath_.reset();
 }
 
 Status GatewayDaemon::start(const Settings &DaemonSettings) {
