LibRuntime: Read the clock once an event unless delays are reported

Cause: the delay reports added a second clock reading to each event of every loop, also of those that report nothing. Change: only loops with reports read it. Not measured apart.

--- a/Libraries/LibRuntime/EventLoopThread.h
+++ b/Libraries/LibRuntime/EventLoopThread.h
@@ -76,19 +76,22 @@
         WakeAt = toSteadyTimePoint(*Deadline);
       std::optional<Event> Next = Ring_.pop(WakeAt);
       TimePoint Now = monotonicNow();
-      if (Deadline)
+      if (ReportDelay_ && Deadline)
         reportDelay(LoopDelay::Waking, Now - std::max(*Deadline, HandledAt));
       Role_.advance(Now, Effects_);
       if (Next)
         Role_.handle(*Next, Now, Effects_);
       deliverEffects(Now);
-      HandledAt = monotonicNow();
-      reportDelay(LoopDelay::Handling, HandledAt - Now);
+      // Loops without reports save reading the clock.
+      if (ReportDelay_) {
+        HandledAt = monotonicNow();
+        reportDelay(LoopDelay::Handling, HandledAt - Now);
+      }
     }
   }
 
   void reportDelay(LoopDelay Kind, Duration Delay) {
-    if (ReportDelay_ && Delay >= MinReportedDelay)
+    if (Delay >= MinReportedDelay)
       ReportDelay_(Kind, Delay);
   }
 
